--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/lib/src/id.rs
@@ -0,0 +1,158 @@
+//! Names and numbers that identify the objects of the model.
+//!
+//! Names come from the published tables and are shared by many objects, so each is a cheap clone of
+//! one allocation. Numbers identify short-lived objects such as one call.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt, str::FromStr, sync::Arc},
+};
+
+/// The longest name that a table may use, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// A name or number that is not well formed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The name is empty.
+    #[error("a name must not be empty")]
+    Empty,
+    /// The name has more than [`MAX_NAME_BYTES`] bytes.
+    #[error("a name has at most {MAX_NAME_BYTES} bytes, this one has {0}")]
+    Long(usize),
+    /// The name has a character other than a letter, digit, `-`, `_` or `.`.
+    #[error("a name has only letters, digits, '-', '_' and '.', not {0:?}")]
+    Character(char),
+    /// The text is not a hexadecimal number of the expected length.
+    #[error("expected {0} hexadecimal digits")]
+    Hexadecimal(usize),
+}
+
+fn check(name: &str) -> Result<(), Error> {
+    if name.is_empty() {
+        return Err(Error::Empty);
+    }
+    if name.len() > MAX_NAME_BYTES {
+        return Err(Error::Long(name.len()));
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    match name.chars().find(|c| !is_allowed(*c)) {
+        Some(c) => Err(Error::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $type(Arc<str>);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = Error;
+
+            fn from_str(name: &str) -> Result<Self, Error> {
+                check(name)?;
+                Ok(Self(name.into()))
+            }
+        }
+
+        impl TryFrom<String> for $type {
+            type Error = Error;
+
+            fn try_from(name: String) -> Result<Self, Error> {
+                name.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(name: $type) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name!(
+    /// The name of a client account.
+    Account
+);
+name!(
+    /// The name of a data centre.
+    DataCentre
+);
+name!(
+    /// The name of a pool of targets.
+    Pool
+);
+name!(
+    /// The name of a route.
+    Route
+);
+name!(
+    /// The name of a VM, and so of the node and of the target on it.
+    Vm
+);
+
+/// Numbers one call at one node. It is never reused in the life of a process.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Call(pub u64);
+
+impl fmt::Display for Call {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Numbers one life of one process. A later life of the same VM has a larger number, because it
+/// starts from the wall clock in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Identifies one root request through the whole chain of calls that it causes.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Request(pub u128);
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Request {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        const DIGITS: usize = 32;
+        if text.len() != DIGITS || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(Error::Hexadecimal(DIGITS));
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| Error::Hexadecimal(DIGITS))
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,12 @@
+//! The model of monsoonstack: every decision, and no input or output.
+//!
+//! A driver passes events and the reading of a clock in, and carries out the actions that come back.
+//! The same model runs in the daemon over sockets and in tests over virtual time. See
+//! docs/design/overview.md.
+
+pub mod call;
+pub mod id;
+pub mod key;
+pub mod table;
+pub mod time;
+pub mod unit;
--- /dev/null
+++ b/lib/tests/table_faults.rs
@@ -0,0 +1,84 @@
+//! Faults in tables are all found, each with its place and a way to mend it.
+
+use monsoon_lib::{table, unit::Revision};
+
+const GOOD: &str = "\
+routes:
+  - name: book
+    match: { methods: [POST], path: /bench/bookings }
+    pool: bench
+    class: booking
+    idempotent: false
+pools:
+  - name: bench
+    targets:
+      - { vm: bench-1, data_centre: bkk-1, slots: 120, connections: 400 }
+accounts:
+  - { name: chonburi, rate: 100, burst: 200 }
+";
+
+fn errors(text: &str) -> Vec<String> {
+    let mut builder = table::Builder::new();
+    builder.add_document("tables.yaml", text);
+    let errors = builder.finish(Revision(1)).expect_err("the tables have faults");
+    errors.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn good_tables() {
+    let mut builder = table::Builder::new();
+    builder.add_document("tables.yaml", GOOD);
+    let set = builder.finish(Revision(7)).expect("the tables are valid");
+    assert_eq!(set.revision(), Revision(7));
+    let path = "/bench/bookings/17".parse().expect("the path is in normal form");
+    let route = set.route("POST", &path).expect("the route matches below its path");
+    assert_eq!(route.name.as_str(), "book");
+    assert!(set.route("GET", &path).is_none());
+}
+
+#[test]
+fn dangling_pool() {
+    let errors = errors(&GOOD.replace("pool: bench", "pool: bunch"));
+    assert_eq!(
+        errors,
+        ["tables.yaml:2: no pools line is named \"bunch\"; add one or correct the name"]
+    );
+}
+
+#[test]
+fn several_faults() {
+    let text = GOOD.replace("rate: 100", "rate: 0").replace("slots: 120", "slots: 0");
+    let errors = errors(&text);
+    assert_eq!(
+        errors,
+        [
+            "tables.yaml:8: slots is 0; set it from 1 to 65535",
+            "tables.yaml:12: rate is 0; set it from 1 to 1000000",
+        ]
+    );
+}
+
+#[test]
+fn unknown_field() {
+    let errors = errors(&GOOD.replace("class: booking", "class: booking\n    colour: red"));
+    assert_eq!(errors.len(), 1);
+    assert!(errors[0].contains("colour"), "{errors:?}");
+}
+
+#[test]
+fn overlapping_routes() {
+    let extra = "  - name: again
+    match: { methods: [POST, PUT], path: /bench/bookings/ }
+    pool: bench
+    class: booking
+    idempotent: false
+pools:";
+    let errors = errors(&GOOD.replace("pools:", extra));
+    assert_eq!(
+        errors,
+        [
+            "tables.yaml:7: the route matches POST /bench/bookings as \"book\" does; change one path \
+             or method"
+        ]
+    );
+}
