--- a/lib/src/table/build.rs
+++ b/lib/src/table/build.rs
@@ -78,7 +78,7 @@
         name: String,
     },
     /// Two routes match the same requests.
-    #[error("the route matches {method} {path} as {other:?} does; change one path or method")]
+    #[error("the route matches {method} {path} as \"{other}\" does; change one path or method")]
     Overlap {
         /// A method that both match.
         method: String,
