--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! docs/design/overview.md.
 
 pub mod call;
+pub mod context;
 pub mod id;
 pub mod key;
 pub mod table;
