--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 pub mod id;
 pub mod key;
+pub mod retry;
 pub mod table;
 pub mod time;
 pub mod unit;
