admission: gate with limit, fair queue and reports

A target that is offered more than it can do answers everyone late. The gate in front of it bounds what runs by a limit learned from latencies and shed replies, and lets the rest wait in a bounded queue: classes in order, accounts by sold rate, deeper calls of an account first. Calls that cannot be served in time are refused when that is known. Reports carry the share of each class and account that upstream should send.

--- /dev/null
+++ b/lib/src/admission.rs
@@ -0,0 +1,481 @@
+//! Decides which calls run on the node's own target, which wait and which are refused.
+//!
+//! The gate trusts only what it sees itself: the latencies and outcomes of the calls that it let
+//! through. A call that cannot be served in time is refused when that is known, never held until its
+//! deadline. See docs/design/admission.md for the options and docs/operate/overload.md for operators.
+
+mod level;
+mod limit;
+mod queue;
+mod service;
+
+pub use limit::{Phase, Settings as LimitSettings};
+
+use {
+    crate::{
+        call::{Reason, Refusal},
+        id, pressure,
+        table::Class,
+        time::Instant,
+    },
+    level::Levels,
+    limit::Limit,
+    queue::{Entry, Queue},
+    serde::{Deserialize, Serialize},
+    service::Service,
+    std::{collections::HashMap, time::Duration},
+};
+
+/// The shortest queue, in calls, however slow the target is.
+const MIN_QUEUE: usize = 8;
+/// The wait that a standing queue may have, in mean times between two completions.
+const STANDING_GAPS: f64 = 8.0;
+/// Refusals further apart than this belong to two overloads.
+const CALM: Duration = Duration::from_millis(500);
+
+/// How a gate decides.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// How the number of calls in flight adapts.
+    pub limit: LimitSettings,
+    /// The most calls that wait.
+    pub max_queue: usize,
+    /// The longest wait while the queue empties from time to time, in milliseconds.
+    pub wait_ms: u64,
+    /// The longest wait while the queue stands, in milliseconds.
+    pub standing_wait_ms: u64,
+    /// A queue that never got shorter than half its allowed wait for this time stands, in
+    /// milliseconds.
+    pub standing_after_ms: u64,
+    /// Whether a standing queue serves its newest calls first.
+    pub is_newest_first: bool,
+    /// The time at its sold rate that an account may catch up on, in milliseconds.
+    pub credit_ms: u64,
+    /// A class with calls is served at least once in this time, in milliseconds.
+    pub floor_ms: u64,
+    /// Whether classes and accounts count. Otherwise calls are served in order of arrival.
+    pub is_fair: bool,
+    /// The shortest time after which a refused caller may come again, in milliseconds.
+    pub min_retry_after_ms: u64,
+    /// The longest time after which a refused caller may come again, in milliseconds.
+    pub max_retry_after_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            limit: LimitSettings::default(),
+            max_queue: 1024,
+            wait_ms: 100,
+            standing_wait_ms: 20,
+            standing_after_ms: 100,
+            is_newest_first: true,
+            credit_ms: 500,
+            floor_ms: 1000,
+            is_fair: true,
+            min_retry_after_ms: 100,
+            max_retry_after_ms: 1000,
+        }
+    }
+}
+
+/// What the gate has to know of a call.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The account that pays, or none on a route open to all.
+    pub account: Option<id::Account>,
+    /// The account's sold rate, in requests a second.
+    pub weight: u32,
+    /// The class of the call.
+    pub class: Class,
+    /// When an answer is of no more use.
+    pub deadline: Instant,
+    /// The number of calls above this one.
+    pub depth: u8,
+}
+
+/// What the gate does with an offered call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The call runs now.
+    Run,
+    /// The call waits and comes back in a [`Release`].
+    Queued,
+    /// The call is refused and did not run.
+    Refused(Refusal),
+}
+
+/// The end of a call's wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Release {
+    /// The call runs now.
+    Run(id::Call),
+    /// The call is refused and did not run.
+    Refuse(id::Call, Refusal),
+}
+
+/// The decision on an offered call, and the waits that ended through it.
+#[derive(Clone, Debug)]
+pub struct Offered {
+    /// What happens to the offered call.
+    pub decision: Decision,
+    /// What happens to calls that waited.
+    pub releases: Vec<Release>,
+}
+
+/// How a call that ran came to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The target answered.
+    Ok,
+    /// The target answered with a failure of its own.
+    Failed,
+    /// The target declared that it did not run the call, because it has no room.
+    Shed,
+    /// The call was given up before the target answered.
+    Cancelled,
+    /// The link to the target broke.
+    Broken,
+}
+
+/// The end of a call that ran.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// The time since the call was released, with the set-up of a connection where one was made.
+    pub latency: Duration,
+    /// How it ended.
+    pub kind: Kind,
+}
+
+/// The load that a target reports of itself. It may lag, freeze or lie.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Hint {
+    /// The share of its slots that are busy.
+    pub load: f64,
+}
+
+/// The state of a gate, for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// What the limit is doing.
+    pub phase: Phase,
+    /// The calls that may run at once.
+    pub limit: u32,
+    /// The calls that run.
+    pub in_flight: usize,
+    /// The calls that wait, by class.
+    pub waiting: [usize; Class::ALL.len()],
+    /// Whether the queue stands, so that waits are short and the newest calls go first.
+    pub is_standing: bool,
+    /// The mean latency of the last window.
+    pub latency: Option<Duration>,
+    /// The latency that is expected where the target does not queue.
+    pub expected_latency: Option<Duration>,
+    /// The load that the target last reported. It takes no part in decisions.
+    pub reported: Option<Hint>,
+    /// What the nodes upstream are told.
+    pub pressure: pressure::Report,
+}
+
+/// Admission in front of one target.
+#[derive(Debug)]
+pub struct Gate {
+    settings: Settings,
+    limit: Limit,
+    queue: Queue,
+    running: HashMap<id::Call, Class>,
+    service: Service,
+    levels: Levels,
+    reported: Option<Hint>,
+    above_since: Option<Instant>,
+    refused_since: Option<Instant>,
+    last_refused: Instant,
+}
+
+impl Gate {
+    /// Makes the gate of a target with the published number of slots. A target that was started
+    /// just now is cold and gets its full share of calls step by step.
+    pub fn new(settings: Settings, slots: u32, is_cold: bool, now: Instant) -> Self {
+        let credit = Duration::from_millis(settings.credit_ms);
+        let floor = Duration::from_millis(settings.floor_ms);
+        Self {
+            limit: Limit::new(settings.limit.clone(), slots, is_cold, now),
+            queue: Queue::new(credit, floor),
+            running: HashMap::new(),
+            service: Service::default(),
+            levels: Levels::new(now),
+            reported: None,
+            above_since: None,
+            refused_since: None,
+            last_refused: now,
+            settings,
+        }
+    }
+
+    /// Takes in a new published number of slots.
+    pub fn resize(&mut self, slots: u32) {
+        self.limit.resize(slots);
+    }
+
+    /// Decides on a call. A queued call ends its wait in a [`Release`] of a later method.
+    pub fn offer(&mut self, now: Instant, call: id::Call, ask: &Ask) -> Offered {
+        let mut releases = self.tick(now);
+        let decision = self.decide(now, call, ask, &mut releases);
+        if matches!(decision, Decision::Refused(refusal) if refusal.reason == Reason::Overload) {
+            self.levels.refused(ask.class, &ask.account);
+        }
+        self.observe(now);
+        Offered { decision, releases }
+    }
+
+    /// Notes the end of a call that ran, and releases calls that waited for its place.
+    pub fn done(&mut self, now: Instant, call: id::Call, ended: Ended) -> Vec<Release> {
+        let Some(class) = self.running.remove(&call) else { return Vec::new() };
+        match ended.kind {
+            Kind::Ok => {
+                self.limit.sample(now, ended.latency);
+                self.service.sample(now, class, ended.latency);
+            }
+            Kind::Shed => self.limit.shed(),
+            Kind::Cancelled | Kind::Broken => self.sample_censored(now, ended.latency),
+            Kind::Failed => {}
+        }
+        self.tick(now)
+    }
+
+    /// Forgets a call that waits and is no longer wanted. Returns whether it was waiting, and so
+    /// did not run. A call that runs is ended by [`Gate::done`].
+    pub fn cancel(&mut self, now: Instant, call: id::Call) -> bool {
+        let was_waiting = self.queue.remove(call).is_some();
+        self.observe(now);
+        was_waiting
+    }
+
+    /// Ends waits whose time has come. The driver calls it at least every 10 ms while calls wait.
+    pub fn tick(&mut self, now: Instant) -> Vec<Release> {
+        self.limit.tick(now, self.running.len());
+        let mut releases = Vec::new();
+        self.expire(now, &mut releases);
+        self.pump(now, &mut releases);
+        self.observe(now);
+        releases
+    }
+
+    /// Notes the load that the target reports. It is shown to operators and decides nothing.
+    pub fn report(&mut self, hint: Hint) {
+        self.reported = Some(hint);
+    }
+
+    /// Returns the number of calls that run.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns what the nodes upstream should know.
+    pub fn pressure(&self, now: Instant) -> pressure::Report {
+        let oldest = self.queue.oldest().map_or(Duration::ZERO, |arrived| now - arrived);
+        pressure::Report {
+            in_flight: self.running.len() as u32,
+            limit: self.limit.calls(),
+            queue_delay: oldest,
+            latency: self.limit.mean().unwrap_or_default(),
+            retry_after: self.retry_after(now),
+            slices: self.levels.slices(),
+        }
+    }
+
+    /// Returns the state for operators.
+    pub fn dump(&self, now: Instant) -> Dump {
+        Dump {
+            phase: self.limit.phase(),
+            limit: self.limit.calls(),
+            in_flight: self.running.len(),
+            waiting: Class::ALL.map(|class| self.queue.len_of(class)),
+            is_standing: self.is_standing(now),
+            latency: self.limit.mean(),
+            expected_latency: self.limit.expected(),
+            reported: self.reported,
+            pressure: self.pressure(now),
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        call: id::Call,
+        ask: &Ask,
+        releases: &mut Vec<Release>,
+    ) -> Decision {
+        let class = self.class(ask);
+        self.levels.offered(ask.class, &ask.account);
+        self.queue.want(class, now);
+        let remaining = ask.deadline - now;
+        let service = self.service.expected(now, ask.class);
+        if remaining.is_zero() || remaining < service {
+            return Decision::Refused(Refusal::not_run(Reason::Deadline));
+        }
+        if self.queue.is_empty() && self.running.len() < self.limit.calls() as usize {
+            let account = self.account(ask);
+            self.queue.pass(&account, ask.weight, class);
+            self.running.insert(call, ask.class);
+            return Decision::Run;
+        }
+        let entry = self.entry(now, call, ask, ask.deadline - service);
+        if self.wait_of(now, &entry) + service > remaining {
+            return Decision::Refused(self.refusal(now));
+        }
+        self.enqueue(now, entry, releases)
+    }
+
+    fn enqueue(&mut self, now: Instant, entry: Entry, releases: &mut Vec<Release>) -> Decision {
+        let is_due = self.queue.is_starved(entry.class, now);
+        if self.queue.len() >= self.max_queue() && !is_due {
+            let is_newest_first = self.is_newest_first(now);
+            let Some(victim) = self.queue.evict(now, &entry, is_newest_first) else {
+                return Decision::Refused(self.refusal(now));
+            };
+            self.give_up(now, &victim, releases);
+        }
+        self.queue.push(entry);
+        Decision::Queued
+    }
+
+    fn class(&self, ask: &Ask) -> Class {
+        if self.settings.is_fair { ask.class } else { Class::Browse }
+    }
+
+    fn account(&self, ask: &Ask) -> Option<id::Account> {
+        if self.settings.is_fair { ask.account.clone() } else { None }
+    }
+
+    fn entry(&self, now: Instant, call: id::Call, ask: &Ask, give_up: Instant) -> Entry {
+        Entry {
+            call,
+            account: self.account(ask),
+            weight: ask.weight,
+            class: self.class(ask),
+            depth: ask.depth,
+            arrived: now,
+            give_up,
+            origin: (ask.class, ask.account.clone()),
+        }
+    }
+
+    fn expire(&mut self, now: Instant, releases: &mut Vec<Release>) {
+        let max_wait = self.max_wait(now);
+        while let Some(entry) = self.queue.expire(now, max_wait) {
+            self.give_up(now, &entry, releases);
+        }
+    }
+
+    fn pump(&mut self, now: Instant, releases: &mut Vec<Release>) {
+        let is_newest_first = self.is_newest_first(now);
+        while self.running.len() < self.limit.calls() as usize {
+            let Some(entry) = self.queue.pop(now, is_newest_first) else { break };
+            self.running.insert(entry.call, entry.origin.0);
+            releases.push(Release::Run(entry.call));
+        }
+    }
+
+    fn give_up(&mut self, now: Instant, entry: &Entry, releases: &mut Vec<Release>) {
+        let (class, account) = &entry.origin;
+        self.levels.refused(*class, account);
+        let refusal = self.refusal(now);
+        releases.push(Release::Refuse(entry.call, refusal));
+    }
+
+    fn refusal(&mut self, now: Instant) -> Refusal {
+        let is_new = now - self.last_refused > CALM;
+        self.last_refused = now;
+        if is_new || self.refused_since.is_none() {
+            self.refused_since = Some(now);
+        }
+        Refusal::not_run(Reason::Overload).after(self.retry_after(now))
+    }
+
+    /// An overload that has lasted for a time is expected to last as long again, and half of that
+    /// brings callers back soon after its end.
+    fn retry_after(&self, now: Instant) -> Duration {
+        let age = match self.refused_since {
+            Some(since) if now - self.last_refused <= CALM => now - since,
+            _ => Duration::ZERO,
+        };
+        let min = Duration::from_millis(self.settings.min_retry_after_ms);
+        let max = Duration::from_millis(self.settings.max_retry_after_ms);
+        (age / 2).clamp(min, max)
+    }
+
+    /// Updates what depends on the state after an event.
+    fn observe(&mut self, now: Instant) {
+        let in_flight = self.running.len();
+        self.limit.used(in_flight + self.queue.len());
+        let has_room = self.queue.is_empty() && in_flight < self.limit.calls() as usize;
+        self.levels.tick(now, has_room);
+        let target = self.standing_wait() / 2;
+        let is_above = self.queue.oldest().is_some_and(|arrived| now - arrived > target);
+        if is_above {
+            self.above_since.get_or_insert(now);
+        } else {
+            self.above_since = None;
+        }
+    }
+
+    fn is_standing(&self, now: Instant) -> bool {
+        let after = Duration::from_millis(self.settings.standing_after_ms);
+        self.above_since.is_some_and(|since| now - since >= after)
+    }
+
+    fn is_newest_first(&self, now: Instant) -> bool {
+        self.settings.is_newest_first && self.is_standing(now)
+    }
+
+    /// The mean time between two completions while the limit is used up.
+    fn gap(&self) -> Duration {
+        let per_s = self.limit.capacity_per_s();
+        per_s.map_or(Duration::ZERO, |per_s| Duration::from_secs_f64(1.0 / per_s))
+    }
+
+    fn standing_wait(&self) -> Duration {
+        let floor = Duration::from_millis(self.settings.standing_wait_ms);
+        floor.max(self.gap().mul_f64(STANDING_GAPS))
+    }
+
+    fn max_wait(&self, now: Instant) -> Duration {
+        let standing = self.standing_wait();
+        if self.is_standing(now) {
+            return standing;
+        }
+        standing.max(Duration::from_millis(self.settings.wait_ms))
+    }
+
+    fn max_queue(&self) -> usize {
+        let wait = Duration::from_millis(self.settings.wait_ms);
+        let gap = self.gap();
+        if gap.is_zero() {
+            return self.settings.max_queue;
+        }
+        let calls = wait.as_secs_f64() / gap.as_secs_f64();
+        (calls as usize).max(MIN_QUEUE).min(self.settings.max_queue)
+    }
+
+    fn wait_of(&self, now: Instant, entry: &Entry) -> Duration {
+        if self.is_newest_first(now) {
+            return Duration::ZERO;
+        }
+        let ahead = self.queue.ahead(&entry.account, entry.weight, entry.class);
+        self.gap().mul_f64(ahead as f64)
+    }
+
+    /// A call that was given up counts only where it shows that latency is above the mean.
+    fn sample_censored(&mut self, now: Instant, latency: Duration) {
+        if self.limit.mean().is_some_and(|mean| latency > mean) {
+            self.limit.sample(now, latency);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,10 +4,12 @@
 //! The same model runs in the daemon over sockets and in tests over virtual time. See
 //! docs/design/overview.md.
 
+pub mod admission;
 pub mod call;
 pub mod context;
 pub mod id;
 pub mod key;
+pub mod pressure;
 pub mod retry;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/lib/src/pressure.rs
@@ -0,0 +1,59 @@
+//! What the nodes of a chain tell each other about room in the pools.
+//!
+//! Reports travel back with replies. See docs/design/pressure.md.
+
+use {
+    crate::{id, table::Class},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// The most classes and accounts in one report.
+pub const MAX_SLICES: usize = 32;
+
+/// The part of the calls that a target wants to be sent, in 255ths.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Share(pub u8);
+
+impl Share {
+    /// All calls.
+    pub const ALL: Self = Self(u8::MAX);
+
+    /// Makes a share from a number between 0 and 1.
+    pub fn from_f64(share: f64) -> Self {
+        Self((share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8)
+    }
+
+    /// Returns a number between 0 and 1.
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(u8::MAX)
+    }
+}
+
+/// A class and an account of which a target wants fewer calls.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Slice {
+    /// The class.
+    pub class: Class,
+    /// The account, or none for routes open to all.
+    pub account: Option<id::Account>,
+    /// The part of its calls that the target wants to be sent.
+    pub admit: Share,
+}
+
+/// The pressure on one target, as its own node sees it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// The calls that run.
+    pub in_flight: u32,
+    /// The calls that may run at once.
+    pub limit: u32,
+    /// The age of the oldest waiting call.
+    pub queue_delay: Duration,
+    /// The mean latency of the target.
+    pub latency: Duration,
+    /// The time after which a refused caller may come again.
+    pub retry_after: Duration,
+    /// The classes and accounts of which the target wants fewer calls. All others have room.
+    pub slices: Vec<Slice>,
+}
