testutils: stand-ins for the platform and for targets

The platform serves the published values, a long poll and the list of VMs; the target has slots, a queue, a service time, nested calls and switches for faults, and records every run. Both run inside a test or as a process through monsoon-standin.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Stand-ins for the systems around a fleet, for tests and for the bench.
+//!
+//! Each stand-in runs inside a test or, through `monsoon-standin`, as a process of its own. All
+//! listen on 127.0.0.1 only.
+
+pub mod platform;
+pub mod server;
+pub mod target;
