pressure: early refusal from reports of deeper pools

Work that upstream pools do for a call that a deeper one refuses is lost. A board holds the reports that come back with replies, learns which pools the calls of each route reach, and refuses the part of a class and account that every reporting target of one of them does not want. Old, missing or rarely relevant reports refuse nothing.

--- a/lib/src/pressure.rs
+++ b/lib/src/pressure.rs
@@ -2,6 +2,10 @@
 //!
 //! Reports travel back with replies. See docs/design/pressure.md.
 
+mod board;
+
+pub use board::{Board, Dump, Settings};
+
 use {
     crate::{id, table::Class},
     serde::{Deserialize, Serialize},
@@ -57,3 +61,24 @@
     /// The classes and accounts of which the target wants fewer calls. All others have room.
     pub slices: Vec<Slice>,
 }
+
+impl Report {
+    /// Returns the part of the calls of a class and account that the target wants to be sent.
+    pub fn wanted(&self, class: Class, account: &Option<id::Account>) -> Share {
+        let is_same = |slice: &&Slice| slice.class == class && slice.account == *account;
+        self.slices.iter().find(is_same).map_or(Share::ALL, |slice| slice.admit)
+    }
+}
+
+/// A report on its way to the nodes upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Relayed {
+    /// The pool of the target.
+    pub pool: id::Pool,
+    /// The VM of the target.
+    pub vm: id::Vm,
+    /// The time since the report was made, without the time on the wire.
+    pub age: Duration,
+    /// The report.
+    pub report: Report,
+}
