member: view of the fleet by list, probes and rumours

Each node probes one peer a period, asks others before it doubts, tries twice before it suspects, and lets the suspect refute. Leaving and refutation are passed on at once. A data centre that does not answer as a whole is cut off, not dead, so that a heal needs no refutations.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod id;
 pub mod key;
+pub mod member;
 pub mod pressure;
 pub mod retry;
 pub mod table;
--- /dev/null
+++ b/lib/src/member/receive.rs
@@ -0,0 +1,100 @@
+//! What a node makes of a message from a peer.
+
+use {
+    super::{
+        Reason, View,
+        fact::{Fact, Health, Rumour},
+        wire::{Body, MAX_DOUBTS, MAX_FACTS, Message},
+    },
+    crate::{id, time::Instant},
+};
+
+impl View {
+    /// Takes a message of a peer whose link proved that it is `from`. Send the answers at once.
+    ///
+    /// A message of an unknown VM, of an earlier life or with an impossible claim changes nothing.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        from: &id::Vm,
+        message: Message,
+    ) -> Vec<(id::Vm, Message)> {
+        self.started.get_or_insert(now);
+        if self.admit(now, from, &message) {
+            self.take(now, from, message);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn admit(&mut self, now: Instant, from: &id::Vm, message: &Message) -> bool {
+        let fact = &message.origin.fact;
+        let is_strange = !self.members.contains_key(from) && !self.is_bootstrapping();
+        if *from == self.me || is_strange || !self.is_plausible(now, fact) {
+            self.strangers += 1;
+            return false;
+        }
+        if self.members.is_empty() {
+            self.sync.join(now);
+        }
+        let Some(member) = self.learn(now, from, &message.origin.data_centre, Reason::Introduced)
+        else {
+            return false;
+        };
+        if fact.incarnation < member.fact.incarnation {
+            // An earlier life that woke up late must learn that it was replaced.
+            let later = self.rumour(from);
+            self.send(from, Body::News);
+            if let (Some((_, news)), Some(later)) = (self.out.last_mut(), later) {
+                news.rumours.push(later);
+            }
+            return false;
+        }
+        true
+    }
+
+    fn take(&mut self, now: Instant, from: &id::Vm, message: Message) {
+        self.hear(now, from, &message);
+        for rumour in message.rumours.iter().take(MAX_FACTS) {
+            let reason = if rumour.vm == *from { Reason::Heard } else { Reason::Rumour };
+            self.apply(now, rumour, reason, true);
+        }
+        for data_centre in message.doubts.iter().take(MAX_DOUBTS) {
+            let is_known = self.members.values().any(|m| m.data_centre == *data_centre);
+            if is_known && *data_centre != self.origin.data_centre {
+                self.check(now, data_centre);
+            }
+        }
+        match message.body {
+            Body::Ping { probe } => self.send(from, Body::Ack { probe }),
+            Body::Ack { probe } => self.take_ack(probe),
+            Body::PingRequest { probe, target } => {
+                self.answer_ping_request(now, from, probe, &target);
+            }
+            Body::News => {}
+            Body::Pull { after } => self.answer_pull(from, after.as_ref()),
+            Body::Push { facts, next } => self.take_push(now, &facts, next),
+        }
+    }
+
+    /// Counts the sender as heard, and tells it what others wrongly think of it.
+    fn hear(&mut self, now: Instant, from: &id::Vm, message: &Message) {
+        self.heard_at = Some(now);
+        let origin = &message.origin;
+        let Some(member) = self.members.get_mut(from) else { return };
+        member.heard_at = Some(now);
+        member.misses = 0;
+        let data_centre = member.data_centre.clone();
+        self.cuts.clear(&data_centre);
+        let rumour = Rumour {
+            vm: from.clone(),
+            data_centre: origin.data_centre.clone(),
+            address: Some(origin.address),
+            fact: Fact { health: Health::Alive, ..origin.fact },
+        };
+        self.apply(now, &rumour, Reason::Heard, true);
+        let is_doubted = self.members.get(from).is_some_and(|m| m.fact.health != Health::Alive);
+        if is_doubted && !matches!(message.body, Body::Ping { .. }) {
+            self.send(from, Body::News);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/member/rumour.rs
@@ -0,0 +1,60 @@
+//! Rumours that still have to be passed on.
+
+use {
+    crate::id,
+    std::{cmp::Reverse, collections::HashMap},
+};
+
+/// How many times a rumour is sent, for each doubling of the number of VMs.
+const SENDS_PER_DOUBLING: u32 = 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    sends: u32,
+    is_urgent: bool,
+    order: u64,
+}
+
+/// The VMs whose facts are still news. It holds at most one entry a VM.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    entries: HashMap<id::Vm, Entry>,
+    order: u64,
+}
+
+impl Queue {
+    /// Starts to spread the fact of a VM, or starts again where it changed.
+    pub fn push(&mut self, vm: &id::Vm, is_urgent: bool) {
+        self.order += 1;
+        let entry = Entry { sends: 0, is_urgent, order: self.order };
+        self.entries.insert(vm.clone(), entry);
+    }
+
+    /// Forgets a VM.
+    pub fn remove(&mut self, vm: &id::Vm) {
+        self.entries.remove(vm);
+    }
+
+    /// Returns the number of facts that are still news.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Picks the VMs for one message, urgent and least sent ones first, and counts them as sent.
+    pub fn pick(&mut self, most: usize, members: usize) -> Vec<id::Vm> {
+        let doublings = (members + 1).next_power_of_two().trailing_zeros();
+        let limit = SENDS_PER_DOUBLING * doublings.max(1);
+        let mut picked: Vec<_> = self.entries.iter().map(|(vm, e)| (vm.clone(), *e)).collect();
+        picked.sort_by_key(|(_, e)| (Reverse(e.is_urgent), e.sends, Reverse(e.order)));
+        picked.truncate(most);
+        for (vm, entry) in &picked {
+            let entry = Entry { sends: entry.sends + 1, ..*entry };
+            if entry.sends >= limit {
+                self.entries.remove(vm);
+            } else {
+                self.entries.insert(vm.clone(), entry);
+            }
+        }
+        picked.into_iter().map(|(vm, _)| vm).collect()
+    }
+}
--- /dev/null
+++ b/lib/src/member/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of the membership protocol.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Periods, timeouts and bounds. The defaults and what they cost are in docs/operate/membership.md.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// How often a node probes one peer, in milliseconds.
+    pub period_ms: u64,
+    /// How long a node waits for a direct answer before it asks others, in milliseconds.
+    pub probe_timeout_ms: u64,
+    /// How many others a node asks to probe for it.
+    pub indirect_peers: usize,
+    /// How long a suspect has to refute, in milliseconds.
+    pub suspicion_ms: u64,
+    /// A node whose ticks are further apart than this was paused, in milliseconds.
+    pub pause_ms: u64,
+    /// How many rumours ride on one message at most.
+    pub rumours: usize,
+    /// How many peers an urgent rumour is passed on to at once.
+    pub eager_peers: usize,
+    /// How many messages a node sends in a period, at most, to pass urgent rumours on.
+    pub eager_messages: usize,
+    /// How often a node compares a page of facts with a peer, in milliseconds.
+    pub sync_ms: u64,
+    /// How often a node that has just started fetches a page of facts, in milliseconds.
+    pub join_ms: u64,
+    /// How long a VM that neither answers nor is listed is remembered, in milliseconds.
+    pub forget_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period_ms: 500,
+            probe_timeout_ms: 200,
+            indirect_peers: 3,
+            suspicion_ms: 5_000,
+            pause_ms: 1_000,
+            rumours: 8,
+            eager_peers: 4,
+            eager_messages: 32,
+            sync_ms: 5_000,
+            join_ms: 200,
+            forget_ms: 600_000,
+        }
+    }
+}
+
+/// Settings that can't work together.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// A setting is zero.
+    #[error("membership.{0} is 0; set it to 1 or more")]
+    Zero(&'static str),
+    /// The direct answer would be awaited beyond the period.
+    #[error("membership.probe_timeout_ms must be less than membership.period_ms")]
+    Timeout,
+    /// The suspect could not refute.
+    #[error("membership.suspicion_ms must be at least twice membership.period_ms")]
+    Suspicion,
+}
+
+impl Settings {
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that can't work.
+    pub fn check(&self) -> Result<(), Error> {
+        let nonzero = [
+            ("period_ms", self.period_ms),
+            ("probe_timeout_ms", self.probe_timeout_ms),
+            ("pause_ms", self.pause_ms),
+            ("sync_ms", self.sync_ms),
+            ("join_ms", self.join_ms),
+        ];
+        if let Some((name, _)) = nonzero.into_iter().find(|(_, value)| *value == 0) {
+            return Err(Error::Zero(name));
+        }
+        if self.probe_timeout_ms >= self.period_ms {
+            return Err(Error::Timeout);
+        }
+        if self.suspicion_ms < 2 * self.period_ms {
+            return Err(Error::Suspicion);
+        }
+        Ok(())
+    }
+
+    pub(super) const fn period(&self) -> Duration {
+        Duration::from_millis(self.period_ms)
+    }
+
+    pub(super) const fn probe_timeout(&self) -> Duration {
+        Duration::from_millis(self.probe_timeout_ms)
+    }
+
+    pub(super) const fn suspicion(&self) -> Duration {
+        Duration::from_millis(self.suspicion_ms)
+    }
+}
--- /dev/null
+++ b/lib/src/member/table.rs
@@ -0,0 +1,189 @@
+//! Which VMs a node knows of: from the platform's list, from the tables and from peers.
+
+use {
+    super::{
+        Change, MAX_MEMBERS, Member, Reason, View, Vm,
+        fact::{Fact, Health, Rumour},
+    },
+    crate::{id, time::Instant},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+impl View {
+    /// Takes the platform's list of VMs. An empty list says nothing and is passed over; a VM that
+    /// is missing from the list stays known until it has been dead for a while.
+    pub fn listed(&mut self, now: Instant, list: &[Vm]) {
+        if list.is_empty() {
+            return;
+        }
+        let listed: BTreeMap<&id::Vm, &Vm> = list.iter().map(|vm| (&vm.vm, vm)).collect();
+        for (vm, member) in &mut self.members {
+            member.listing = listed.get(vm).map(|line| line.state);
+        }
+        for line in list {
+            self.list(now, line);
+        }
+        if !self.has_list {
+            self.has_list = true;
+            self.sync.join(now);
+        }
+        self.refresh_all();
+    }
+
+    fn list(&mut self, now: Instant, line: &Vm) {
+        let member = self.learn(now, &line.vm, &line.data_centre, Reason::Listed);
+        let Some(member) = member else { return };
+        member.listing = Some(line.state);
+        // The VM itself knows its address better than a list that lags.
+        if member.fact.incarnation == id::Incarnation::default() || member.address.is_none() {
+            member.data_centre = line.data_centre.clone();
+            member.address = Some(line.address);
+        }
+    }
+
+    /// Takes the VMs that the tables in force name, so that peers on them are accepted even where
+    /// the platform's list lags.
+    pub fn published<'a>(
+        &mut self,
+        now: Instant,
+        targets: impl Iterator<Item = (&'a id::Vm, &'a id::DataCentre)>,
+    ) {
+        for member in self.members.values_mut() {
+            member.is_published = false;
+        }
+        for (vm, data_centre) in targets {
+            if let Some(member) = self.learn(now, vm, data_centre, Reason::Published) {
+                member.is_published = true;
+            }
+        }
+        self.refresh_all();
+    }
+
+    /// Returns the record of a VM and makes one where there is none and room is left.
+    pub(super) fn learn(
+        &mut self,
+        now: Instant,
+        vm: &id::Vm,
+        data_centre: &id::DataCentre,
+        reason: Reason,
+    ) -> Option<&mut Member> {
+        if *vm == self.me {
+            return None;
+        }
+        if !self.members.contains_key(vm) && self.members.len() >= MAX_MEMBERS {
+            return None;
+        }
+        let member = self.members.entry(vm.clone()).or_insert_with(|| Member {
+            data_centre: data_centre.clone(),
+            address: None,
+            listing: None,
+            is_published: false,
+            fact: Fact::default(),
+            misses: 0,
+            heard_at: None,
+            health_since: now,
+            shown: None,
+            reason,
+        });
+        Some(member)
+    }
+
+    /// Tells whether strangers are let in, because neither a list nor a table names anyone yet.
+    /// The link has already proved that the stranger belongs to the fleet.
+    pub(super) fn is_bootstrapping(&self) -> bool {
+        !self.has_list && !self.members.values().any(|member| member.is_published)
+    }
+
+    /// Takes in a fact of another VM and spreads it where it is news.
+    pub(super) fn apply(&mut self, now: Instant, rumour: &Rumour, reason: Reason, is_news: bool) {
+        if rumour.vm == self.me {
+            return self.refute(&rumour.fact);
+        }
+        if !self.is_plausible(now, &rumour.fact) {
+            return;
+        }
+        if !self.members.contains_key(&rumour.vm) {
+            if !self.is_bootstrapping() {
+                return;
+            }
+            self.learn(now, &rumour.vm, &rumour.data_centre, Reason::Introduced);
+        }
+        let Some(member) = self.members.get_mut(&rumour.vm) else { return };
+        let before = member.fact;
+        if !member.fact.merge(&rumour.fact) {
+            return;
+        }
+        member.reason = reason;
+        if before.health != member.fact.health {
+            member.health_since = now;
+        }
+        if before.incarnation != member.fact.incarnation {
+            member.misses = 0;
+        }
+        set_address(member, &before, rumour.address);
+        let has_left = member.fact.leaving && !before.leaving;
+        let has_refuted = before.health != Health::Alive && member.fact.health == Health::Alive;
+        if is_news {
+            self.spread(&rumour.vm, has_left || has_refuted);
+        }
+        self.refresh(&rumour.vm);
+    }
+
+    /// Answers a claim about this node's own VM with a fact that goes before it.
+    fn refute(&mut self, claim: &Fact) {
+        const MAX_ROUND: u32 = 1 << 24;
+        let own = self.origin.fact;
+        if claim.incarnation > own.incarnation {
+            if self.superseded < Some(claim.incarnation) {
+                self.superseded = Some(claim.incarnation);
+                self.change(Change::Superseded { incarnation: claim.incarnation });
+            }
+            return;
+        }
+        let is_doubt = claim.health != Health::Alive && claim.round >= own.round;
+        if claim.incarnation < own.incarnation || !is_doubt || claim.round > MAX_ROUND {
+            return;
+        }
+        self.origin.fact.round = claim.round + 1;
+        self.prober.lower_trust();
+        let me = self.me.clone();
+        self.spread(&me, true);
+    }
+
+    /// Drops claims of lives that start in the future. A life's number is the wall clock at its
+    /// start, and this node's own life tells about what that clock shows now.
+    pub(super) fn is_plausible(&self, now: Instant, fact: &Fact) -> bool {
+        const MAX_CLOCK_ERROR: Duration = Duration::from_secs(3_600);
+        let age = self.started.map_or(Duration::ZERO, |started| now.since(started));
+        let latest = u128::from(self.origin.fact.incarnation.0)
+            + age.as_millis()
+            + MAX_CLOCK_ERROR.as_millis();
+        u128::from(fact.incarnation.0) <= latest
+    }
+
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        let forget = Duration::from_millis(self.settings.forget_ms);
+        let cuts = &self.cuts;
+        let is_old = |member: &Member| {
+            let is_gone = member.fact.health == Health::Dead || cuts.is_cut(&member.data_centre);
+            let heard_at = member.heard_at.unwrap_or(member.health_since);
+            let since = heard_at.max(member.health_since);
+            let is_named = member.listing.is_some() || member.is_published;
+            is_gone && !is_named && now.since(since) >= forget
+        };
+        let old: Vec<id::Vm> =
+            self.members.iter().filter(|(_, m)| is_old(m)).map(|(vm, _)| vm.clone()).collect();
+        for vm in old {
+            self.members.remove(&vm);
+            self.queue.remove(&vm);
+            self.change(Change::Forgotten { vm });
+        }
+    }
+}
+
+fn set_address(member: &mut Member, before: &Fact, address: Option<SocketAddr>) {
+    let is_later = member.fact.incarnation > before.incarnation;
+    if address.is_some() && (is_later || member.address.is_none()) {
+        member.address = address;
+    }
+}
