config: published values, gossip of revisions and keys

Watchers read the platform, the others fetch differences from peers that know more. Values come into force whole and validated, never at a lower revision; keys are withdrawn ahead of the tables and refused after too long without a confirmation; a restarted node first asks its peers.

--- /dev/null
+++ b/lib/src/config.rs
@@ -0,0 +1,290 @@
+//! The tables in force, and how they get there.
+//!
+//! A few nodes of each data centre watch the platform; the others learn from peers. The highest
+//! accepted revision wins everywhere, values come into force only as a whole that validates, and a
+//! restarted node asks its peers before it trusts the platform. See docs/design/configuration.md and
+//! docs/design/keys.md.
+
+mod accept;
+mod claim;
+mod dump;
+mod fetch;
+mod gossip;
+mod history;
+mod key;
+mod settings;
+mod stage;
+mod start;
+mod valid;
+mod value;
+mod watch;
+mod wire;
+
+pub use {
+    dump::Dump,
+    key::KeyState,
+    settings::{Error, Settings},
+    stage::PageError,
+    valid::{Fault, Tables, Validator},
+    value::{Difference, MAX_NAME_BYTES, MAX_VALUE_BYTES, ReadError, Value},
+    wire::{Cursor, MAX_WITHDRAWALS, Message, Page, Part, Piece, Text, Withdrawal},
+};
+
+use {
+    crate::{id, key::Digest, member::Peer, table::Set, time::Instant, unit::Revision},
+    claim::Claims,
+    fetch::{Budget, Fetch},
+    gossip::Confirmation,
+    history::History,
+    key::Overlay,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde::Serialize,
+    stage::Stage,
+    start::Start,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+    watch::Watch,
+};
+
+/// The most changes that are kept for a driver that does not take them.
+const MAX_CHANGES: usize = 1_024;
+
+/// What the driver has to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Read the platform's list of VMs, give it to [`crate::member::View::listed`] and tell
+    /// [`Store::vms_read`] how it went.
+    ReadVms,
+    /// Read the values that changed after a revision, and give the answer to [`Store::published`].
+    Read {
+        /// The revision.
+        after: Revision,
+        /// How long the platform may hold the answer back while there is no change.
+        wait: Duration,
+    },
+    /// Send a message to a node at once.
+    Send(id::Vm, Message),
+}
+
+/// A change that this node noticed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Change {
+    /// A set came into force.
+    Accepted {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// The values of a revision do not validate, and the set before stays in force.
+    Refused {
+        /// The revision.
+        revision: Revision,
+        /// The number of faults.
+        faults: usize,
+    },
+}
+
+#[derive(Debug)]
+struct Accepted {
+    history: History,
+    set: Arc<Set>,
+}
+
+/// The published values at one node, and the set that they make.
+#[derive(Debug)]
+pub struct Store<V = Tables> {
+    settings: Settings,
+    me: id::Vm,
+    data_centre: id::DataCentre,
+    validator: V,
+    started: Option<Instant>,
+    live: Vec<Peer>,
+    has_list: bool,
+    latest: History,
+    accepted: Option<Accepted>,
+    faults: Vec<Fault>,
+    overlay: Overlay,
+    confirmation: Option<Confirmation>,
+    start: Start,
+    watch: Watch,
+    claims: Claims,
+    stage: Option<Stage>,
+    fetch: Option<Fetch>,
+    fetch_at: Instant,
+    budget: Budget,
+    asks: BTreeMap<u32, (id::Vm, Instant)>,
+    gossip_at: Instant,
+    last_nonce: u32,
+    page_errors: u64,
+    last_page_error: Option<PageError>,
+    out: Vec<Action>,
+    changes: VecDeque<Change>,
+    rng: ChaCha8Rng,
+}
+
+impl Store<Tables> {
+    /// Makes the store of a node that knows no values.
+    pub fn new(
+        settings: Settings,
+        me: id::Vm,
+        data_centre: id::DataCentre,
+        incarnation: id::Incarnation,
+        seed: u64,
+    ) -> Self {
+        Self::with_validator(settings, me, data_centre, incarnation, seed, Tables)
+    }
+}
+
+impl<V: Validator> Store<V> {
+    /// Makes a store with other rules of what may come into force.
+    pub fn with_validator(
+        settings: Settings,
+        me: id::Vm,
+        data_centre: id::DataCentre,
+        incarnation: id::Incarnation,
+        seed: u64,
+        validator: V,
+    ) -> Self {
+        // Answers to an earlier life must not pass for answers to this one.
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ incarnation.0.rotate_left(32));
+        let last_nonce = rng.random();
+        Self {
+            settings,
+            me,
+            data_centre,
+            validator,
+            started: None,
+            live: Vec::new(),
+            has_list: false,
+            latest: History::default(),
+            accepted: None,
+            faults: Vec::new(),
+            overlay: Overlay::default(),
+            confirmation: None,
+            start: Start::default(),
+            watch: Watch::default(),
+            claims: Claims::default(),
+            stage: None,
+            fetch: None,
+            fetch_at: Instant::ZERO,
+            budget: Budget::default(),
+            asks: BTreeMap::new(),
+            gossip_at: Instant::ZERO,
+            last_nonce,
+            page_errors: 0,
+            last_page_error: None,
+            out: Vec::new(),
+            changes: VecDeque::new(),
+            rng,
+        }
+    }
+
+    /// Does what is due. Call it every 50 ms to 200 ms with the members that can be reached.
+    pub fn tick(&mut self, now: Instant, live: &[Peer]) -> Vec<Action> {
+        let is_first = self.started.is_none();
+        self.started.get_or_insert(now);
+        live.clone_into(&mut self.live);
+        let reachable: BTreeSet<id::Vm> = live.iter().map(|peer| peer.vm.clone()).collect();
+        self.claims.retain(now, &reachable);
+        if is_first {
+            self.watch.spread = self.draw_spread();
+        }
+        let limit = Duration::from_millis(self.settings.withdrawal_ms);
+        self.overlay.expire(now, limit);
+        self.start_next(now);
+        self.gossip_next(now);
+        self.fetch_next(now);
+        self.read_next(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes the platform's answer to the last [`Action::Read`].
+    pub fn published(
+        &mut self,
+        now: Instant,
+        result: Result<Difference, ReadError>,
+    ) -> Vec<Action> {
+        self.take_read(now, result);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes a message of a peer whose link proved that it is `from`.
+    pub fn receive(&mut self, now: Instant, from: &id::Vm, message: Message) -> Vec<Action> {
+        match message {
+            Message::Ask { nonce, complete } => self.answer(now, from, nonce, complete),
+            Message::Answer { nonce, complete, accepted, age_ms, withdrawals } => {
+                self.claims.hear(now, from, complete, Some(accepted));
+                self.take_withdrawals(now, from, &withdrawals);
+                self.take_answer(now, from, nonce, complete, age_ms);
+            }
+            Message::Notice { complete } => self.claims.hear(now, from, complete, None),
+            Message::Withdraw { withdrawals } => self.take_withdrawals(now, from, &withdrawals),
+            Message::Fetch { nonce, of, base, from: cursor } => {
+                self.serve(now, from, nonce, of, base, &cursor);
+            }
+            Message::Page { nonce, page } => self.take_page(now, from, nonce, page),
+            Message::Busy { nonce } => self.take_busy(now, from, nonce),
+        }
+        self.fetch_next(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the set in force. Its revision never falls in the life of a store.
+    pub fn set(&self) -> Option<&Arc<Set>> {
+        self.accepted.as_ref().map(|accepted| &accepted.set)
+    }
+
+    /// Returns the revision up to which all values are known, in force or not.
+    pub fn known(&self) -> Revision {
+        self.latest.revision()
+    }
+
+    /// Tells whether keys are admitted at all.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not. The caller is told `no-tables`.
+    pub fn keys_usable(&self, now: Instant) -> Result<(), KeyState> {
+        if self.accepted.is_none() {
+            return Err(KeyState::NoTables);
+        }
+        if !self.start.is_done() {
+            return Err(KeyState::Starting);
+        }
+        let Some(confirmation) = self.confirmation else { return Err(KeyState::Starting) };
+        let age_ms = confirmation.age_ms(now);
+        if age_ms <= self.settings.max_key_age_ms {
+            Ok(())
+        } else {
+            Err(KeyState::Stale { age_ms })
+        }
+    }
+
+    /// Returns the account that a key speaks for, unless the key was withdrawn. Ask
+    /// [`Store::keys_usable`] first.
+    pub fn account_of(&self, digest: &Digest) -> Option<&id::Account> {
+        if self.overlay.is_withdrawn(digest) {
+            return None;
+        }
+        self.accepted.as_ref()?.set.account_of(digest)
+    }
+
+    /// Takes the changes since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        self.changes.drain(..).collect()
+    }
+
+    fn accepted_revision(&self) -> Revision {
+        self.accepted.as_ref().map_or(Revision(0), |accepted| accepted.set.revision())
+    }
+
+    fn change(&mut self, change: Change) {
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
+}
--- /dev/null
+++ b/lib/src/config/accept.rs
@@ -0,0 +1,134 @@
+//! From values to the set in force.
+
+use {
+    super::{
+        Accepted, Change, Store,
+        gossip::Confirmation,
+        history::{self, History},
+        key,
+        valid::{Fault, Validator},
+        value::{Difference, Entry, MAX_VALUE_BYTES, Name, ReadError},
+        wire::Withdrawal,
+    },
+    crate::{id, time::Instant, unit::Revision},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+impl<V: Validator> Store<V> {
+    /// Takes the platform's answer to the read that is under way.
+    pub(super) fn take_read(&mut self, now: Instant, result: Result<Difference, ReadError>) {
+        let Some(read) = self.watch.read else { return };
+        let difference = match result {
+            Ok(difference) => difference,
+            Err(error) => return self.fail_read(now, error),
+        };
+        let Some(change) = to_change(difference, read.after) else {
+            return self.fail_read(now, ReadError::Failed);
+        };
+        self.finish_read(now);
+        if change.revision < self.latest.revision() {
+            // A stale answer changes nothing and confirms nothing.
+            self.watch.stale_reads += 1;
+            return;
+        }
+        self.take_change(now, change, None);
+        self.confirm(now, Confirmation { at: read.started, age: Duration::ZERO });
+    }
+
+    /// Takes in a change of the latest values, and puts them in force if they validate.
+    pub(super) fn take_change(
+        &mut self,
+        now: Instant,
+        change: history::Change,
+        from: Option<&id::Vm>,
+    ) -> bool {
+        let before = self.latest.revision();
+        let withdrawals = withdrawals(&change, before);
+        if !self.latest.apply(change) {
+            return false;
+        }
+        self.stage = None;
+        self.fetch = None;
+        let news = self.overlay.hear(now, before, &withdrawals);
+        self.warn(&news, from);
+        self.validate();
+        self.notify(from);
+        true
+    }
+
+    fn validate(&mut self) {
+        let revision = self.latest.revision();
+        let values = self.latest.texts().map(|(name, text)| (name.as_str(), text.as_ref()));
+        match self.validator.validate(revision, values) {
+            Ok(set) => {
+                self.faults = Vec::new();
+                let history = self.latest.clone();
+                self.put_in_force(Accepted { history, set: Arc::new(set) });
+            }
+            Err(errors) => {
+                self.faults = errors.iter().map(Fault::from).collect();
+                self.change(Change::Refused { revision, faults: self.faults.len() });
+            }
+        }
+        self.compare();
+    }
+
+    /// Takes in a peer's values in force, where this node missed them.
+    pub(super) fn take_accepted(&mut self, change: history::Change) -> bool {
+        let revision = change.revision;
+        if revision <= self.accepted_revision() || revision > self.latest.revision() {
+            return false;
+        }
+        let mut history = History::default();
+        if !history.apply(change) {
+            return false;
+        }
+        let values = history.texts().map(|(name, text)| (name.as_str(), text.as_ref()));
+        let Ok(set) = self.validator.validate(revision, values) else { return false };
+        self.put_in_force(Accepted { history, set: Arc::new(set) });
+        self.compare();
+        true
+    }
+
+    fn put_in_force(&mut self, accepted: Accepted) {
+        let revision = accepted.set.revision();
+        if revision <= self.accepted_revision() {
+            return;
+        }
+        self.accepted = Some(accepted);
+        self.change(Change::Accepted { revision });
+    }
+
+    fn compare(&mut self) {
+        let none = History::default();
+        let accepted = self.accepted.as_ref().map_or(&none, |accepted| &accepted.history);
+        self.overlay.compare(accepted, &self.latest);
+    }
+}
+
+/// Checks the platform's answer and gives it the form of a change.
+fn to_change(difference: Difference, after: Revision) -> Option<history::Change> {
+    // A read after nothing returns every live value and no deletion.
+    let is_whole = difference.reset || after == Revision(0);
+    let mut entries = BTreeMap::new();
+    for value in difference.values {
+        let is_large = value.text.as_ref().is_some_and(|text| text.len() > MAX_VALUE_BYTES);
+        if is_large || value.revision > difference.revision {
+            return None;
+        }
+        // A name that can't be printed can't be shown to an operator either.
+        let Ok(name) = value.name.parse::<Name>() else { continue };
+        entries.insert(name, Entry { revision: value.revision, text: value.text.map(Into::into) });
+    }
+    Some(history::Change { revision: difference.revision, is_whole, entries })
+}
+
+/// Returns the keys that a change deletes.
+fn withdrawals(change: &history::Change, known: Revision) -> Vec<Withdrawal> {
+    let is_gone = |(_, entry): &(&Name, &Entry)| entry.text.is_none() && entry.revision > known;
+    let withdrawal = |(name, entry): (&Name, &Entry)| {
+        let digest = key::digest_of(name.as_str())?;
+        Some(Withdrawal { digest, revision: entry.revision })
+    };
+    change.entries.iter().filter(is_gone).filter_map(withdrawal).collect()
+}
--- /dev/null
+++ b/lib/src/config/claim.rs
@@ -0,0 +1,115 @@
+//! What peers claim to know, and how far they were found to be right.
+
+use {
+    crate::{id, time::Instant, unit::Revision},
+    rand::{Rng, seq::IteratorRandom},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// How often in a row a peer may fail to give what it claims to have.
+const MAX_STRIKES: u8 = 5;
+/// The most peers whose claims are kept.
+const MAX_PEERS: usize = 4_096;
+
+/// The claims of one peer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Claim {
+    pub complete: Revision,
+    pub accepted: Revision,
+    strikes: u8,
+    muted_until: Option<Instant>,
+}
+
+/// The claims of all peers.
+#[derive(Debug, Default)]
+pub(super) struct Claims {
+    peers: BTreeMap<id::Vm, Claim>,
+    /// The peer that served the last page.
+    last: Option<id::Vm>,
+}
+
+impl Claims {
+    /// Takes in what a peer says that it knows. A muted peer is not heard.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        vm: &id::Vm,
+        complete: Revision,
+        accepted: Option<Revision>,
+    ) {
+        if !self.peers.contains_key(vm) && self.peers.len() >= MAX_PEERS {
+            return;
+        }
+        let claim = self.peers.entry(vm.clone()).or_default();
+        if claim.muted_until.is_some_and(|until| now < until) {
+            return;
+        }
+        if claim.muted_until.take().is_some() {
+            claim.strikes = 0;
+        }
+        // A peer that started again knows less than before, so the last word counts.
+        claim.complete = complete;
+        claim.accepted = accepted.unwrap_or(claim.accepted);
+    }
+
+    /// Counts a peer's failure and mutes it after several.
+    pub fn strike(&mut self, now: Instant, vm: &id::Vm, mute: Duration) {
+        let Some(claim) = self.peers.get_mut(vm) else { return };
+        claim.strikes += 1;
+        if claim.strikes >= MAX_STRIKES {
+            *claim = Claim { muted_until: Some(now + mute), ..Claim::default() };
+        }
+        self.rest(vm);
+    }
+
+    /// Counts a page that brought the reader on.
+    pub fn praise(&mut self, vm: &id::Vm) {
+        if let Some(claim) = self.peers.get_mut(vm) {
+            claim.strikes = 0;
+        }
+        self.last = Some(vm.clone());
+    }
+
+    /// Prefers other peers the next time.
+    pub fn rest(&mut self, vm: &id::Vm) {
+        if self.last.as_ref() == Some(vm) {
+            self.last = None;
+        }
+    }
+
+    pub fn of(&self, vm: &id::Vm) -> Option<&Claim> {
+        self.peers.get(vm)
+    }
+
+    pub fn is_muted(&self, now: Instant, vm: &id::Vm) -> bool {
+        let until = self.peers.get(vm).and_then(|claim| claim.muted_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Returns a peer whose claim passes, the one that served last if it does.
+    pub fn pick(&self, rng: &mut impl Rng, passes: impl Fn(&Claim) -> bool) -> Option<id::Vm> {
+        let is_good = |vm: &&id::Vm| self.peers.get(*vm).is_some_and(&passes);
+        if let Some(last) = self.last.as_ref().filter(is_good) {
+            return Some(last.clone());
+        }
+        self.peers.keys().filter(is_good).choose(rng).cloned()
+    }
+
+    pub fn highest(&self) -> Revision {
+        self.peers.values().map(|claim| claim.complete).max().unwrap_or_default()
+    }
+
+    pub fn muted(&self, now: Instant) -> Vec<id::Vm> {
+        self.peers.keys().filter(|vm| self.is_muted(now, vm)).cloned().collect()
+    }
+
+    /// Drops the claims of peers that can't be reached, but not the memory of who is muted.
+    pub fn retain(&mut self, now: Instant, reachable: &BTreeSet<id::Vm>) {
+        self.peers.retain(|vm, claim| {
+            reachable.contains(vm) || claim.muted_until.is_some_and(|until| now < until)
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/config/fetch.rs
@@ -0,0 +1,171 @@
+//! Fetching values from peers, and serving them.
+
+use {
+    super::{
+        Message, Store,
+        stage::Stage,
+        valid::Validator,
+        wire::{Cursor, Page, Part},
+    },
+    crate::{id, time::Instant, unit::Revision},
+    rand::RngExt,
+    std::time::Duration,
+};
+
+/// The request that is under way.
+#[derive(Debug)]
+pub(super) struct Fetch {
+    nonce: u32,
+    peer: id::Vm,
+    sent_at: Instant,
+}
+
+/// How much a node may still serve.
+#[derive(Debug, Default)]
+pub(super) struct Budget {
+    bytes: u64,
+    filled_at: Instant,
+}
+
+impl Budget {
+    fn fill(&mut self, now: Instant, per_second: u64) {
+        let millis = u64::try_from(now.since(self.filled_at).as_millis()).unwrap_or(u64::MAX);
+        let gain = per_second.saturating_mul(millis) / 1_000;
+        if gain > 0 {
+            self.bytes = self.bytes.saturating_add(gain).min(per_second);
+            self.filled_at = now;
+        }
+    }
+
+    fn take(&mut self, bytes: u64) -> bool {
+        let has_room = self.bytes >= bytes;
+        if has_room {
+            self.bytes -= bytes;
+        }
+        has_room
+    }
+}
+
+impl<V: Validator> Store<V> {
+    pub(super) fn fetch_next(&mut self, now: Instant) {
+        if let Some(fetch) = &self.fetch {
+            if now.since(fetch.sent_at) < self.settings.fetch_timeout() {
+                return;
+            }
+            let peer = fetch.peer.clone();
+            self.fetch = None;
+            self.strike(now, &peer);
+        }
+        if now < self.fetch_at {
+            return;
+        }
+        let known = self.latest.revision();
+        if let Some(peer) = self.claims.pick(&mut self.rng, |claim| claim.complete > known) {
+            if self.stage.as_ref().is_none_or(|stage| stage.of != Part::Latest) {
+                self.stage = Some(Stage::difference(known));
+            }
+            return self.fetch_from(now, peer);
+        }
+        let accepted = self.accepted_revision();
+        // While the latest values do not validate, a peer may have a later set in force.
+        if accepted < known
+            && let Some(peer) = self.claims.pick(&mut self.rng, |claim| claim.accepted > accepted)
+        {
+            let is_other = self.stage.as_ref().is_none_or(|stage| stage.of != Part::Accepted);
+            if is_other {
+                self.stage = Some(Stage::accepted());
+            }
+            self.fetch_from(now, peer);
+        }
+    }
+
+    fn fetch_from(&mut self, now: Instant, peer: id::Vm) {
+        let Some(stage) = &self.stage else { return };
+        let (of, base, from) = (stage.of, stage.base, stage.from.clone());
+        let nonce = self.nonce();
+        self.send(&peer, Message::Fetch { nonce, of, base, from });
+        self.fetch = Some(Fetch { nonce, peer, sent_at: now });
+    }
+
+    pub(super) fn strike(&mut self, now: Instant, peer: &id::Vm) {
+        self.claims.strike(now, peer, Duration::from_millis(self.settings.mute_ms));
+    }
+
+    pub(super) fn serve(
+        &mut self,
+        now: Instant,
+        to: &id::Vm,
+        nonce: u32,
+        of: Part,
+        base: Revision,
+        from: &Cursor,
+    ) {
+        self.budget.fill(now, self.settings.serve_bytes_per_second);
+        let history = match (of, &self.accepted) {
+            (Part::Latest, _) => &self.latest,
+            (Part::Accepted, Some(accepted)) => &accepted.history,
+            (Part::Accepted, None) => return,
+        };
+        let page = history.page(base, from, self.settings.page_bytes);
+        let bytes: usize = page.pieces.iter().map(super::history::size_of).sum();
+        let message = if self.budget.take(bytes as u64) {
+            Message::Page { nonce, page }
+        } else {
+            Message::Busy { nonce }
+        };
+        self.send(to, message);
+    }
+
+    /// Waits a little after a peer has served all that it may, and then asks any.
+    pub(super) fn take_busy(&mut self, now: Instant, from: &id::Vm, nonce: u32) {
+        const WAIT_MS: std::ops::Range<u64> = 50..250;
+        if self.is_awaited(from, nonce) {
+            self.fetch = None;
+            self.claims.rest(from);
+            self.fetch_at = now + Duration::from_millis(self.rng.random_range(WAIT_MS));
+        }
+    }
+
+    fn is_awaited(&self, from: &id::Vm, nonce: u32) -> bool {
+        self.fetch.as_ref().is_some_and(|fetch| fetch.nonce == nonce && fetch.peer == *from)
+    }
+
+    pub(super) fn take_page(&mut self, now: Instant, from: &id::Vm, nonce: u32, page: Page) {
+        if !self.is_awaited(from, nonce) {
+            return;
+        }
+        self.fetch = None;
+        let Some(stage) = &mut self.stage else { return };
+        let (of, last, revision) = (stage.of, page.last, page.revision);
+        let has_pieces = !page.pieces.is_empty();
+        match stage.take(page) {
+            Err(error) => {
+                self.page_errors += 1;
+                self.last_page_error = Some(error);
+                self.stage = None;
+                self.strike(now, from);
+            }
+            Ok(None) if has_pieces => {
+                self.claims.praise(from);
+                self.fetch_next(now);
+            }
+            Ok(None) => self.strike(now, from),
+            Ok(Some(change)) => {
+                self.stage = None;
+                let is_news = match of {
+                    Part::Latest => self.take_change(now, change, Some(from)),
+                    Part::Accepted => self.take_accepted(change),
+                };
+                if is_news {
+                    self.claims.praise(from);
+                } else {
+                    self.strike(now, from);
+                }
+                let short = self.claims.of(from).is_some_and(|claim| claim.complete > revision);
+                if last && short && of == Part::Latest {
+                    self.strike(now, from);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/config/history.rs
@@ -0,0 +1,163 @@
+//! All values up to one revision, kept so that peers can be served the difference.
+
+use {
+    super::{
+        value::{Entry, MAX_VALUE_BYTES, Name},
+        wire::{Cursor, Page, Piece, Text},
+    },
+    crate::unit::Revision,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// How many deleted values are remembered. A peer that is further behind reads the whole state.
+const MAX_TOMBSTONES: usize = 4_096;
+/// The most values that a node holds.
+pub(super) const MAX_VALUES: usize = 65_536;
+
+/// The values that changed between two revisions, or all of them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Change {
+    pub revision: Revision,
+    pub is_whole: bool,
+    pub entries: BTreeMap<Name, Entry>,
+}
+
+/// The state of all values at one revision.
+#[derive(Clone, Debug, Default)]
+pub(super) struct History {
+    revision: Revision,
+    /// Deletions after this revision are all remembered.
+    floor: Revision,
+    entries: BTreeMap<Name, Entry>,
+    order: BTreeSet<(Revision, Name)>,
+    tombstones: BTreeSet<(Revision, Name)>,
+}
+
+impl History {
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len() - self.tombstones.len()
+    }
+
+    pub fn text(&self, name: &str) -> Option<&Arc<str>> {
+        self.entries.get(name)?.text.as_ref()
+    }
+
+    /// Returns the values that were not deleted, in the order of names.
+    pub fn texts(&self) -> impl Iterator<Item = (&Name, &Arc<str>)> {
+        self.entries.iter().filter_map(|(name, entry)| Some((name, entry.text.as_ref()?)))
+    }
+
+    /// Takes in a change that starts at this revision or before, and tells whether it was news.
+    pub fn apply(&mut self, change: Change) -> bool {
+        let size = self.entries.len() + change.entries.len();
+        if change.revision <= self.revision || (size > MAX_VALUES && !change.is_whole) {
+            return false;
+        }
+        if change.is_whole {
+            let stays = |name: &Name| change.entries.contains_key(name);
+            let gone: Vec<Name> = self.entries.keys().filter(|n| !stays(n)).cloned().collect();
+            for name in gone {
+                self.remove(&name);
+            }
+            self.floor = change.revision;
+        }
+        for (name, entry) in change.entries {
+            self.put(name, entry);
+        }
+        self.revision = change.revision;
+        self.prune();
+        true
+    }
+
+    fn put(&mut self, name: Name, entry: Entry) {
+        let known = self.entries.get(&name).map(|entry| entry.revision);
+        if known.is_some_and(|revision| revision >= entry.revision) {
+            return;
+        }
+        self.remove(&name);
+        let place = (entry.revision, name.clone());
+        if entry.text.is_none() {
+            self.tombstones.insert(place.clone());
+        }
+        self.order.insert(place);
+        self.entries.insert(name, entry);
+    }
+
+    fn remove(&mut self, name: &Name) {
+        if let Some(entry) = self.entries.remove(name) {
+            let place = (entry.revision, name.clone());
+            self.tombstones.remove(&place);
+            self.order.remove(&place);
+        }
+    }
+
+    fn prune(&mut self) {
+        while let Some((revision, name)) = self.tombstones.first().cloned() {
+            if revision > self.floor && self.tombstones.len() <= MAX_TOMBSTONES {
+                break;
+            }
+            self.floor = self.floor.max(revision);
+            self.remove(&name);
+        }
+    }
+
+    /// Makes a page of about `most` bytes for a reader that knows all deletions up to `base`.
+    pub fn page(&self, base: Revision, from: &Cursor, most: usize) -> Page {
+        let reset = base < self.floor;
+        let base = if reset { self.revision } else { base };
+        let from = if reset { Cursor::default() } else { from.clone() };
+        let mut page = Page { revision: self.revision, base, reset, pieces: vec![], last: true };
+        let start = (from.revision, Name::bound(&from.name));
+        let mut room = most;
+        for (revision, name) in self.order.range(start..) {
+            let Some(entry) = self.entries.get(name) else { continue };
+            if entry.text.is_none() && *revision <= base {
+                continue;
+            }
+            if room == 0 {
+                page.last = false;
+                break;
+            }
+            let is_first = *revision == from.revision && name.as_str() == from.name;
+            let offset = if is_first { from.offset } else { 0 };
+            let piece = cut(name, entry, offset, room);
+            let is_whole = piece
+                .text
+                .as_ref()
+                .is_none_or(|text| text.offset as usize + text.part.len() == text.total as usize);
+            room = room.saturating_sub(size_of(&piece));
+            page.pieces.push(piece);
+            if !is_whole {
+                page.last = false;
+                break;
+            }
+        }
+        page
+    }
+}
+
+fn cut(name: &Name, entry: &Entry, offset: u32, room: usize) -> Piece {
+    let text = entry.text.as_ref().map(|text| {
+        let start = text.floor_char_boundary(offset as usize);
+        let end = text.ceil_char_boundary(start.saturating_add(room)).min(text.len());
+        Text {
+            total: u32::try_from(text.len().min(MAX_VALUE_BYTES)).unwrap_or(u32::MAX),
+            offset: u32::try_from(start).unwrap_or(u32::MAX),
+            part: text[start..end].to_owned(),
+        }
+    });
+    Piece { name: name.to_string(), revision: entry.revision, text }
+}
+
+pub(super) fn size_of(piece: &Piece) -> usize {
+    const OVERHEAD: usize = 16;
+    let text = piece.text.as_ref().map_or(0, |text| text.part.len());
+    OVERHEAD + piece.name.len() + text
+}
--- /dev/null
+++ b/lib/src/config/stage.rs
@@ -0,0 +1,153 @@
+//! Pages from peers, put together until they make a whole change.
+
+use {
+    super::{
+        history::{Change, MAX_VALUES},
+        value::{Entry, MAX_VALUE_BYTES, Name},
+        wire::{Cursor, Page, Part, Piece, Text},
+    },
+    crate::unit::Revision,
+    std::collections::BTreeMap,
+};
+
+/// The most bytes of values that a node puts together.
+const MAX_BYTES: usize = 64 << 20;
+
+/// A page that no correct peer sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum PageError {
+    /// The values are not in order, or are of revisions outside the page.
+    #[error("the values of the page are not in order")]
+    Order,
+    /// The parts of a value do not fit together.
+    #[error("the parts of a value do not fit together")]
+    Part,
+    /// The values are too large or too many.
+    #[error("the values are too large or too many")]
+    Large,
+    /// The last page ends inside a value.
+    #[error("the last page ends inside a value")]
+    Unfinished,
+}
+
+#[derive(Debug)]
+struct Partial {
+    name: Name,
+    revision: Revision,
+    total: u32,
+    text: String,
+}
+
+/// A change that is not whole yet.
+#[derive(Debug)]
+pub(super) struct Stage {
+    pub of: Part,
+    pub base: Revision,
+    pub from: Cursor,
+    is_whole: bool,
+    entries: BTreeMap<Name, Entry>,
+    partial: Option<Partial>,
+    bytes: usize,
+}
+
+impl Stage {
+    /// Starts the difference from `known` to a peer's latest values.
+    pub fn difference(known: Revision) -> Self {
+        let from = Cursor { revision: Revision(known.0 + 1), ..Cursor::default() };
+        Self::new(Part::Latest, known, from, false)
+    }
+
+    /// Starts a peer's values in force, as a whole.
+    pub fn accepted() -> Self {
+        Self::new(Part::Accepted, Revision(0), Cursor::default(), true)
+    }
+
+    fn new(of: Part, base: Revision, from: Cursor, is_whole: bool) -> Self {
+        let entries = BTreeMap::new();
+        Self { of, base, from, is_whole, entries, partial: None, bytes: 0 }
+    }
+
+    /// Takes a page in and returns the change when it is whole.
+    pub fn take(&mut self, page: Page) -> Result<Option<Change>, PageError> {
+        if page.reset {
+            *self = Self::new(self.of, page.base, Cursor::default(), true);
+        }
+        for piece in page.pieces {
+            if piece.revision > page.revision {
+                return Err(PageError::Order);
+            }
+            self.take_piece(piece)?;
+        }
+        if !page.last {
+            return Ok(None);
+        }
+        if self.partial.is_some() {
+            return Err(PageError::Unfinished);
+        }
+        let entries = std::mem::take(&mut self.entries);
+        Ok(Some(Change { revision: page.revision, is_whole: self.is_whole, entries }))
+    }
+
+    fn take_piece(&mut self, piece: Piece) -> Result<(), PageError> {
+        let is_behind =
+            (piece.revision, piece.name.as_str()) < (self.from.revision, self.from.name.as_str());
+        if is_behind {
+            return Err(PageError::Order);
+        }
+        let (revision, next) = (piece.revision, format!("{}!", piece.name));
+        self.from = Cursor { revision, name: next, offset: 0 };
+        // No line of a table can have such a name, so leaving it out loses nothing.
+        let Ok(name) = piece.name.parse::<Name>() else { return Ok(()) };
+        let text = match piece.text {
+            None => None,
+            Some(text) => match self.join(&name, revision, &text)? {
+                None => return Ok(()),
+                text => text,
+            },
+        };
+        self.partial = None;
+        self.bytes += name.as_str().len() + text.as_ref().map_or(0, String::len);
+        let entry = Entry { revision, text: text.map(Into::into) };
+        self.entries.insert(name, entry);
+        if self.bytes > MAX_BYTES || self.entries.len() > MAX_VALUES {
+            return Err(PageError::Large);
+        }
+        Ok(())
+    }
+
+    /// Adds a part of a text and returns the text when it is whole.
+    fn join(
+        &mut self,
+        name: &Name,
+        revision: Revision,
+        text: &Text,
+    ) -> Result<Option<String>, PageError> {
+        if text.total as usize > MAX_VALUE_BYTES {
+            return Err(PageError::Large);
+        }
+        let is_next = |p: &Partial| {
+            p.name == *name
+                && p.revision == revision
+                && p.total == text.total
+                && p.text.len() == text.offset as usize
+        };
+        let mut whole = match self.partial.take() {
+            Some(partial) if text.offset > 0 && is_next(&partial) => partial.text,
+            _ if text.offset == 0 => String::new(),
+            _ => return Err(PageError::Part),
+        };
+        whole.push_str(&text.part);
+        let total = text.total as usize;
+        if whole.len() > total || (text.part.is_empty() && total > 0) {
+            return Err(PageError::Part);
+        }
+        if whole.len() == total {
+            return Ok(Some(whole));
+        }
+        let offset = u32::try_from(whole.len()).unwrap_or(u32::MAX);
+        self.from = Cursor { revision, name: name.to_string(), offset };
+        let name = name.clone();
+        self.partial = Some(Partial { name, revision, total: text.total, text: whole });
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/lib/src/config/watch.rs
@@ -0,0 +1,189 @@
+//! When a node reads the platform.
+//!
+//! Only a few nodes of each data centre watch. The others read only when they have not heard of a
+//! confirmation for long, and then so spread out that the whole fleet stays far below the platform's
+//! limit. See docs/design/configuration.md.
+
+use {
+    super::{Action, Store, valid::Validator, value::ReadError},
+    crate::{id, member::Peer, time::Instant, unit::Revision},
+    rand::RngExt,
+    siphasher::sip::SipHasher13,
+    std::{
+        hash::{Hash, Hasher},
+        time::Duration,
+    },
+};
+
+/// The shortest time between two reads of a watcher.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+/// The first wait after a failed read. It doubles up to [`MAX_BACKOFF`].
+const MIN_BACKOFF: Duration = Duration::from_millis(500);
+/// The first wait after a failed read of the list, which every node reads.
+const MIN_LIST_BACKOFF: Duration = Duration::from_millis(2_500);
+/// The longest wait after a failed read.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// The longest wait after a failed read of the list.
+const MAX_LIST_BACKOFF: Duration = Duration::from_secs(10);
+/// How much longer than the watch's own time an answer may take.
+const GRACE: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Read {
+    pub after: Revision,
+    pub wait: Duration,
+    pub started: Instant,
+}
+
+/// The reads of the platform.
+#[derive(Debug, Default)]
+pub(super) struct Watch {
+    pub is_watcher: bool,
+    pub read: Option<Read>,
+    next_at: Instant,
+    /// How far this node puts off its fallback reads, drawn anew after each.
+    pub spread: Duration,
+    failures: u32,
+    list_at: Option<Instant>,
+    list_failures: u32,
+    pub reads: u64,
+    pub stale_reads: u64,
+    pub last_error: Option<ReadError>,
+}
+
+impl<V: Validator> Store<V> {
+    /// Tells how the read of the platform's list of VMs went.
+    pub fn vms_read(&mut self, now: Instant, result: Result<(), ReadError>) {
+        let wait = match result {
+            Ok(()) => {
+                self.watch.list_failures = 0;
+                self.has_list = true;
+                Duration::from_millis(self.settings.list_interval_ms)
+            }
+            Err(_) => {
+                self.watch.list_failures = self.watch.list_failures.saturating_add(1);
+                backoff(self.watch.list_failures, MIN_LIST_BACKOFF, MAX_LIST_BACKOFF)
+            }
+        };
+        let wait = self.jitter(wait);
+        self.watch.list_at = Some(now + wait);
+    }
+
+    pub(super) fn read_next(&mut self, now: Instant) {
+        self.read_list(now);
+        let is_lost = |read: &Read| now.since(read.started) >= read.wait + GRACE;
+        if self.watch.read.is_some_and(|read| is_lost(&read)) {
+            self.fail_read(now, ReadError::Failed);
+        }
+        if self.watch.read.is_some() || now < self.watch.next_at {
+            return;
+        }
+        self.watch.is_watcher = self.is_watcher();
+        if self.watch.is_watcher {
+            let wait = Duration::from_millis(self.settings.watch_wait_ms);
+            self.read(now, wait);
+        } else if self.is_quiet(now) {
+            self.watch.spread = self.draw_spread();
+            self.read(now, Duration::ZERO);
+        }
+    }
+
+    fn read_list(&mut self, now: Instant) {
+        let at = match self.watch.list_at {
+            Some(at) => at,
+            None => {
+                let spread = self.settings.start_spread_ms;
+                let wait = Duration::from_millis(self.rng.random_range(0..=spread));
+                *self.watch.list_at.insert(now + wait)
+            }
+        };
+        if now >= at {
+            // An answer that never comes counts as a failed read.
+            self.watch.list_at = Some(now + MAX_LIST_BACKOFF);
+            self.watch.reads += 1;
+            self.out.push(Action::ReadVms);
+        }
+    }
+
+    fn read(&mut self, now: Instant, wait: Duration) {
+        let after = self.latest.revision();
+        self.watch.read = Some(Read { after, wait, started: now });
+        self.watch.reads += 1;
+        self.out.push(Action::Read { after, wait });
+    }
+
+    /// Ranks this node among the nodes of its data centre. Two nodes that see other members may
+    /// both watch, which costs a few reads.
+    fn is_watcher(&self) -> bool {
+        // Without the list every node would take itself for the only one and watch.
+        if !self.has_list {
+            return false;
+        }
+        let own = weight(&self.me);
+        let is_before = |peer: &&Peer| {
+            peer.data_centre == self.data_centre && !peer.leaving && weight(&peer.vm) > own
+        };
+        self.live.iter().filter(is_before).count() < self.settings.watchers
+    }
+
+    /// Tells whether nothing confirmed the values of this node for too long.
+    fn is_quiet(&self, now: Instant) -> bool {
+        let (quiet, limit) = match self.confirmation {
+            Some(confirmation) => (confirmation.age(now), self.settings.fallback_ms),
+            None => (now.since(self.started.unwrap_or(now)), self.settings.start_fallback_ms),
+        };
+        quiet >= Duration::from_millis(limit) + self.watch.spread
+    }
+
+    /// Draws a delay such that all nodes together read about as often as the settings say.
+    pub(super) fn draw_spread(&mut self) -> Duration {
+        const MS: u64 = 1_000;
+        const MIN_MS: u64 = 1_000;
+        const UNLISTED_MS: u64 = 5_000;
+        let least = if self.has_list { MIN_MS } else { UNLISTED_MS };
+        let nodes = self.live.len() as u64 + 1;
+        let range = (nodes * MS / self.settings.fallback_reads_per_second.max(1)).max(least);
+        Duration::from_millis(self.rng.random_range(0..range))
+    }
+
+    pub(super) fn finish_read(&mut self, now: Instant) {
+        self.watch.read = None;
+        self.watch.failures = 0;
+        self.watch.last_error = None;
+        let wait = if self.watch.is_watcher {
+            MIN_INTERVAL
+        } else {
+            Duration::from_millis(self.settings.fallback_ms)
+        };
+        self.watch.next_at = now + self.jitter(wait);
+    }
+
+    pub(super) fn fail_read(&mut self, now: Instant, error: ReadError) {
+        self.watch.read = None;
+        self.watch.failures = self.watch.failures.saturating_add(1);
+        self.watch.last_error = Some(error);
+        let wait = if self.watch.is_watcher {
+            backoff(self.watch.failures, MIN_BACKOFF, MAX_BACKOFF)
+        } else {
+            Duration::from_millis(self.settings.fallback_ms) + self.draw_spread()
+        };
+        self.watch.next_at = now + self.jitter(wait);
+    }
+
+    fn jitter(&mut self, wait: Duration) -> Duration {
+        wait.mul_f64(self.rng.random_range(0.75..1.5))
+    }
+}
+
+fn backoff(failures: u32, first: Duration, most: Duration) -> Duration {
+    const MAX_DOUBLINGS: u32 = 5;
+    let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
+    (first * (1 << doublings)).min(most)
+}
+
+fn weight(vm: &id::Vm) -> u64 {
+    const KEYS: (u64, u64) = (0x7761_7463_6865_7273, 0x706c_6174_666f_726d);
+    let mut hasher = SipHasher13::new_with_keys(KEYS.0, KEYS.1);
+    vm.as_str().hash(&mut hasher);
+    hasher.finish()
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod balance;
 pub mod call;
+pub mod config;
 pub mod context;
 pub mod id;
 pub mod key;
--- /dev/null
+++ b/lib/tests/fleet/platform.rs
@@ -0,0 +1,85 @@
+//! The platform: values that are only read, a list of VMs, and its faults.
+
+use {
+    monsoon_lib::{
+        config::{Difference, Value},
+        member,
+        time::Instant,
+        unit::Revision,
+    },
+    std::collections::BTreeMap,
+};
+
+pub struct Platform {
+    pub vms: Vec<member::Vm>,
+    pub is_down: bool,
+    pub stale_at: Option<Revision>,
+    pub limit: Option<u64>,
+    /// Reads by second.
+    pub reads: BTreeMap<u64, u64>,
+    revision: Revision,
+    log: Vec<Value>,
+}
+
+impl Platform {
+    pub fn new(vms: Vec<member::Vm>) -> Self {
+        Self {
+            vms,
+            is_down: false,
+            stale_at: None,
+            limit: None,
+            reads: BTreeMap::new(),
+            revision: Revision(0),
+            log: Vec::new(),
+        }
+    }
+
+    /// Publishes a batch of changes at one revision.
+    pub fn publish(&mut self, changes: &[(String, Option<String>)]) -> Revision {
+        self.revision = Revision(self.revision.0 + 1);
+        let revision = self.revision;
+        let value = |(name, text): &(String, Option<String>)| Value {
+            name: name.clone(),
+            revision,
+            text: text.clone(),
+        };
+        self.log.extend(changes.iter().map(value));
+        revision
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the revision that readers see.
+    pub fn visible(&self) -> Revision {
+        self.stale_at.map_or(self.revision, |stale| stale.min(self.revision))
+    }
+
+    /// Counts a read and tells whether it is over the limit.
+    pub fn count(&mut self, now: Instant) -> bool {
+        let reads = self.reads.entry(now.as_nanos() / 1_000_000_000).or_default();
+        *reads += 1;
+        self.limit.is_some_and(|limit| *reads > limit)
+    }
+
+    pub fn worst_second(&self) -> u64 {
+        self.reads.values().copied().max().unwrap_or(0)
+    }
+
+    pub fn total_reads(&self) -> u64 {
+        self.reads.values().sum()
+    }
+
+    pub fn read(&self, after: Revision) -> Difference {
+        let revision = self.visible();
+        let seen = self.log.iter().filter(|value| value.revision <= revision);
+        let latest: BTreeMap<&str, &Value> =
+            seen.map(|value| (value.name.as_str(), value)).collect();
+        let is_wanted = |value: &&&Value| {
+            value.revision > after && (after > Revision(0) || value.text.is_some())
+        };
+        let values = latest.values().filter(is_wanted).map(|value| (*value).clone()).collect();
+        Difference { revision, reset: false, values }
+    }
+}
