--- /dev/null
+++ b/testutils/src/load.rs
@@ -0,0 +1,108 @@
+//! An open-loop load generator that plays the callers of several client accounts.
+//!
+//! Arrivals follow a seeded Poisson process and never wait for answers. Latency counts from the
+//! intended arrival, so a stall of the system is not hidden by a stall of the generator.
+
+mod plan;
+mod report;
+
+pub use {
+    plan::{Account, Plan, Request, Surge},
+    report::{Report, SLOT, Slot, Tally},
+};
+
+use {
+    crate::client::{Client, Verdict},
+    monsoon_lib::call::Reason,
+    plan::Arrival,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant},
+    tokio::task::JoinSet,
+};
+
+/// The most requests in flight at once. Arrivals over it are counted as unsent.
+const MAX_IN_FLIGHT: usize = 20_000;
+
+/// Plays one plan against the callers' listeners of a fleet.
+#[derive(Clone, Debug)]
+pub struct Generator {
+    plan: Plan,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Generator {
+    /// Makes a generator that spreads requests evenly over the addresses.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no address.
+    pub fn new(plan: Plan, addresses: Vec<SocketAddr>) -> Self {
+        assert!(!addresses.is_empty(), "a generator needs an address to send to");
+        Self { plan, addresses }
+    }
+
+    /// Sends all arrivals of the plan, waits for the last answer and returns what was seen.
+    ///
+    /// It runs on the calling thread, which must have an actix runtime.
+    pub async fn run(&self) -> Report {
+        let report = Rc::new(RefCell::new(Report::new(&self.plan)));
+        let client = Client::new(self.plan.timeout);
+        let start = Instant::now();
+        let mut calls = JoinSet::new();
+        for (number, arrival) in self.plan.arrivals().enumerate() {
+            tokio::time::sleep_until((start + arrival.at).into()).await;
+            while calls.try_join_next().is_some() {}
+            if calls.len() >= MAX_IN_FLIGHT {
+                report.borrow_mut().unsent(&arrival);
+                continue;
+            }
+            let address = self.addresses[number % self.addresses.len()];
+            let call = self.call(arrival, number, address, start, client.clone(), report.clone());
+            calls.spawn_local(call);
+        }
+        while calls.join_next().await.is_some() {}
+        Rc::into_inner(report).expect("all calls have ended").into_inner()
+    }
+
+    fn call(
+        &self,
+        arrival: Arrival,
+        number: usize,
+        address: SocketAddr,
+        start: Instant,
+        client: Client,
+        report: Rc<RefCell<Report>>,
+    ) -> impl Future<Output = ()> + 'static {
+        let account = &self.plan.accounts[arrival.account];
+        let request = &account.requests[arrival.request];
+        let sent = request.make(account, number, self.plan.seed);
+        let retries = account.retries;
+        let addresses = self.addresses.clone();
+        async move {
+            let mut address = address;
+            let mut left = retries;
+            loop {
+                report.borrow_mut().attempt(&arrival);
+                let verdict = client.send(&sent, address).await.verdict;
+                if left == 0 || !is_resent(&verdict) {
+                    let latency = start.elapsed().saturating_sub(arrival.at);
+                    report.borrow_mut().record(&arrival, &verdict, latency);
+                    return;
+                }
+                left -= 1;
+                address = addresses[(number + usize::from(retries - left)) % addresses.len()];
+            }
+        }
+    }
+}
+
+/// Callers send again at once when a request failed, but for faults of the request itself.
+fn is_resent(verdict: &Verdict) -> bool {
+    match verdict {
+        Verdict::Whole | Verdict::Wrong => false,
+        Verdict::Refused(refused) => !matches!(
+            refused.reason,
+            Reason::Key | Reason::NoRoute | Reason::Malformed | Reason::TooLarge
+        ),
+        Verdict::Status(_) | Verdict::Broken => true,
+    }
+}
--- /dev/null
+++ b/testutils/src/proxy.rs
@@ -0,0 +1,324 @@
+//! A fault-injecting TCP proxy for one link.
+
+use {
+    rand::{RngExt as _, SeedableRng as _},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::{TcpListener, TcpStream, tcp},
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::Instant,
+    },
+};
+
+/// How the proxy treats bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// Bytes pass.
+    #[default]
+    Pass,
+    /// No byte is read from either side. After healing all arrive late, as over a real link.
+    Freeze,
+    /// Bytes are read and lost. A connection that lost some is cut when the link heals.
+    Blackhole,
+    /// Open connections are cut and new ones are closed at once.
+    Refuse,
+}
+
+/// What is wrong with the link. The default is a perfect one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Faults {
+    /// How bytes are treated.
+    pub mode: Mode,
+    /// The time that each piece takes in each direction.
+    pub latency: Duration,
+    /// The most by which a piece takes longer, drawn evenly.
+    pub jitter: Duration,
+    /// The number of bytes from the upstream after which a connection is cut.
+    pub cut_after: Option<u64>,
+    /// The most bytes a second on each connection and direction.
+    pub bytes_per_second: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Control {
+    faults: Faults,
+    /// Connections of an earlier epoch are cut.
+    epoch: u64,
+}
+
+/// Bytes that passed, by direction.
+#[derive(Debug, Default)]
+struct Meter {
+    connections: AtomicU64,
+    to_upstream: AtomicU64,
+    from_upstream: AtomicU64,
+}
+
+/// Counts of what passed a proxy.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Accepted connections.
+    pub connections: u64,
+    /// Bytes towards the upstream.
+    pub to_upstream: u64,
+    /// Bytes from the upstream.
+    pub from_upstream: u64,
+}
+
+/// A running proxy. It ends with all its connections when it is dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    control: watch::Sender<Control>,
+    meter: Arc<Meter>,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    /// Listens on a port chosen by the system and passes each connection on to `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when no port can be bound.
+    pub async fn start(upstream: SocketAddr, seed: u64) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let control = watch::Sender::new(Control::default());
+        let meter = Arc::new(Meter::default());
+        let accept = accept(listener, upstream, seed, control.subscribe(), meter.clone());
+        let task = tokio::spawn(accept);
+        Ok(Self { address, control, meter, task })
+    }
+
+    /// Returns the address that stands for the upstream.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what is wrong with the link, for open and new connections.
+    pub fn set_faults(&self, faults: Faults) {
+        self.control.send_modify(|control| control.faults = faults);
+    }
+
+    /// Sets how bytes are treated, and mends all else.
+    pub fn set_mode(&self, mode: Mode) {
+        self.set_faults(Faults { mode, ..Faults::default() });
+    }
+
+    /// Makes the link perfect again.
+    pub fn heal(&self) {
+        self.set_faults(Faults::default());
+    }
+
+    /// Cuts all open connections now.
+    pub fn cut(&self) {
+        self.control.send_modify(|control| control.epoch += 1);
+    }
+
+    /// Returns the counts since the start.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            connections: self.meter.connections.load(Ordering::Relaxed),
+            to_upstream: self.meter.to_upstream.load(Ordering::Relaxed),
+            from_upstream: self.meter.from_upstream.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    upstream: SocketAddr,
+    seed: u64,
+    control: watch::Receiver<Control>,
+    meter: Arc<Meter>,
+) {
+    // The connections end with this set, and so with the task of the proxy.
+    let mut connections = tokio::task::JoinSet::new();
+    let mut number = 0;
+    while let Ok((near, _)) = listener.accept().await {
+        while connections.try_join_next().is_some() {}
+        number += 1;
+        meter.connections.fetch_add(1, Ordering::Relaxed);
+        let random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
+        let link = Link { control: control.clone(), meter: meter.clone(), random };
+        connections.spawn(link.connect(near, upstream));
+    }
+}
+
+/// One connection through the proxy.
+struct Link {
+    control: watch::Receiver<Control>,
+    meter: Arc<Meter>,
+    random: ChaCha8Rng,
+}
+
+impl Link {
+    async fn connect(mut self, near: TcpStream, upstream: SocketAddr) {
+        let epoch = self.control.borrow().epoch;
+        let mut cut = self.control.clone();
+        let is_cut = move |c: &Control| c.epoch != epoch || c.faults.mode == Mode::Refuse;
+        tokio::select! {
+            _ = cut.wait_for(is_cut) => {}
+            _ = self.carry(near, upstream) => {}
+        }
+    }
+
+    async fn carry(&mut self, near: TcpStream, upstream: SocketAddr) -> io::Result<()> {
+        let is_open = |control: &Control| control.faults.mode != Mode::Freeze;
+        // The sender lives as long as the proxy, which ends this task when it is dropped.
+        let _ = self.control.wait_for(is_open).await;
+        let far = TcpStream::connect(upstream).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let up = self.direction(Way::ToUpstream);
+        let down = self.direction(Way::FromUpstream);
+        futures::try_join!(up.run(near_read, far_write), down.run(far_read, near_write))?;
+        Ok(())
+    }
+
+    fn direction(&mut self, way: Way) -> Direction {
+        let random = ChaCha8Rng::seed_from_u64(self.random.random());
+        let meter = self.meter.clone();
+        Direction { way, control: self.control.clone(), meter, random, passed: 0 }
+    }
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Way {
+    ToUpstream,
+    FromUpstream,
+}
+
+struct Piece {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+/// One direction of one connection.
+struct Direction {
+    way: Way,
+    control: watch::Receiver<Control>,
+    meter: Arc<Meter>,
+    random: ChaCha8Rng,
+    passed: u64,
+}
+
+impl Direction {
+    async fn run(self, from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf) -> io::Result<()> {
+        const MAX_PIECES: usize = 256;
+        let control = self.control.clone();
+        let (sender, mut receiver) = mpsc::channel::<Piece>(MAX_PIECES);
+        let write = async {
+            while let Some(piece) = receiver.recv().await {
+                tokio::time::sleep_until(piece.due).await;
+                thawed(&mut control.clone()).await;
+                to.write_all(&piece.bytes).await?;
+            }
+            to.shutdown().await
+        };
+        futures::try_join!(self.read(from, sender), write)?;
+        Ok(())
+    }
+
+    async fn read(
+        mut self,
+        mut from: tcp::OwnedReadHalf,
+        to: mpsc::Sender<Piece>,
+    ) -> io::Result<()> {
+        const PIECE_BYTES: usize = 16 << 10;
+        let mut buffer = vec![0; PIECE_BYTES];
+        let mut due = Instant::now();
+        let mut is_lossy = false;
+        loop {
+            thawed(&mut self.control).await;
+            from.readable().await?;
+            if self.control.borrow().faults.mode == Mode::Freeze {
+                continue;
+            }
+            let faults = self.control.borrow().faults;
+            let count = from.read(&mut buffer[..piece_bytes(&faults, PIECE_BYTES)]).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            if faults.mode == Mode::Blackhole {
+                is_lossy = true;
+                continue;
+            }
+            if is_lossy {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let (kept, is_cut) = self.keep(count as u64, &faults);
+            due = due.max(Instant::now() + self.delay(&faults));
+            let bytes = buffer[..kept].to_vec();
+            if to.send(Piece { due, bytes }).await.is_err() {
+                return Ok(());
+            }
+            if is_cut {
+                drop(to);
+                tokio::time::sleep_until(due + CUT_PAUSE).await;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            throttle(count, &faults).await;
+        }
+    }
+
+    /// Counts the bytes and tells how many pass and whether the connection is cut after them.
+    fn keep(&mut self, count: u64, faults: &Faults) -> (usize, bool) {
+        let left = match (self.way, faults.cut_after) {
+            (Way::FromUpstream, Some(limit)) => limit.saturating_sub(self.passed),
+            _ => u64::MAX,
+        };
+        let kept = count.min(left);
+        self.passed += kept;
+        let meter = match self.way {
+            Way::ToUpstream => &self.meter.to_upstream,
+            Way::FromUpstream => &self.meter.from_upstream,
+        };
+        meter.fetch_add(kept, Ordering::Relaxed);
+        (usize::try_from(kept).unwrap_or(usize::MAX), kept == left)
+    }
+
+    fn delay(&mut self, faults: &Faults) -> Duration {
+        let part: f64 = self.random.random();
+        faults.latency + faults.jitter.mul_f64(part)
+    }
+}
+
+/// The time in which the last bytes before a cut are written.
+const CUT_PAUSE: Duration = Duration::from_millis(20);
+
+async fn thawed(control: &mut watch::Receiver<Control>) {
+    // The sender lives as long as the proxy, which ends this task when it is dropped.
+    let _ = control.wait_for(|control| control.faults.mode != Mode::Freeze).await;
+}
+
+fn piece_bytes(faults: &Faults, most: usize) -> usize {
+    const PIECES_PER_SECOND: u64 = 50;
+    let Some(rate) = faults.bytes_per_second else { return most };
+    usize::try_from(rate / PIECES_PER_SECOND).unwrap_or(most).clamp(1, most)
+}
+
+async fn throttle(count: usize, faults: &Faults) {
+    let Some(rate) = faults.bytes_per_second else { return };
+    let pause = Duration::from_secs_f64(count as f64 / rate.max(1) as f64);
+    tokio::time::sleep(pause).await;
+}
