--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod member;
 pub mod pressure;
+pub mod rate;
 pub mod retry;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/lib/src/rate/split.rs
@@ -0,0 +1,222 @@
+//! The static split of an account's rate and burst over its minters.
+//!
+//! Every node derives the same split from the same tables, so nodes need no agreement on it. The
+//! split depends only on what is published, never on who is thought alive. See
+//! docs/design/rate.md.
+
+use {
+    super::Settings,
+    crate::{id, table, unit::Tokens},
+    serde::{Deserialize, Serialize},
+    siphasher::sip::SipHasher13,
+    std::{
+        collections::BTreeMap,
+        fmt,
+        hash::{Hash, Hasher},
+    },
+};
+
+/// Names one split by a digest of all that it is derived from. Zero stands for an account that the
+/// tables do not name.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Digest(pub u64);
+
+impl Digest {
+    /// The digest of the split of an account that the tables do not name.
+    pub const ABSENT: Self = Self(0);
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A part of an account's rate and burst.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Share {
+    /// Tokens minted in one second.
+    pub rate: Tokens,
+    /// The most tokens that may be in existence at once.
+    pub cap: Tokens,
+}
+
+impl Share {
+    /// No rate and no burst.
+    pub const NONE: Self = Self { rate: Tokens::ZERO, cap: Tokens::ZERO };
+
+    /// Returns the smaller rate and the smaller cap.
+    pub fn min(self, other: Self) -> Self {
+        Self { rate: self.rate.min(other.rate), cap: self.cap.min(other.cap) }
+    }
+
+    /// Returns the larger rate and the larger cap.
+    pub fn max(self, other: Self) -> Self {
+        Self { rate: self.rate.max(other.rate), cap: self.cap.max(other.cap) }
+    }
+
+    /// Returns the sum of both.
+    pub fn plus(self, other: Self) -> Self {
+        Self { rate: self.rate.saturating_add(other.rate), cap: self.cap.saturating_add(other.cap) }
+    }
+
+    /// Returns what is left after `other` is taken away.
+    pub fn minus(self, other: Self) -> Self {
+        Self { rate: self.rate.saturating_sub(other.rate), cap: self.cap.saturating_sub(other.cap) }
+    }
+
+    /// Tells whether neither rate nor cap exceeds that of `other`.
+    pub fn is_within(self, other: Self) -> bool {
+        self.rate <= other.rate && self.cap <= other.cap
+    }
+
+    /// Returns `part / whole` of the share, rounded down.
+    pub fn scale(self, part: u64, whole: u64) -> Self {
+        let scale = |tokens: Tokens| {
+            let scaled = u128::from(tokens.0) * u128::from(part) / u128::from(whole.max(1));
+            Tokens(u64::try_from(scaled).unwrap_or(u64::MAX))
+        };
+        Self { rate: scale(self.rate), cap: scale(self.cap) }
+    }
+}
+
+/// A VM that mints a part of an account's tokens.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Minter {
+    /// Where the VM is.
+    pub data_centre: id::DataCentre,
+    /// What it mints.
+    pub share: Share,
+}
+
+/// How one account's rate and burst are split over its minters.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Split {
+    /// Names this split.
+    pub digest: Digest,
+    /// The minters by VM.
+    pub minters: BTreeMap<id::Vm, Minter>,
+}
+
+/// The published VMs of each data centre.
+pub type Places = BTreeMap<id::DataCentre, Vec<id::Vm>>;
+
+/// Collects the VMs of the pools by data centre.
+pub fn places(set: &table::Set) -> Places {
+    let mut places = Places::new();
+    for target in set.pools().values().flat_map(|pool| &pool.targets) {
+        places.entry(target.data_centre.clone()).or_default().push(target.vm.clone());
+    }
+    places
+}
+
+/// Returns the rendezvous weight of a VM for an account. The VM with the largest goes first.
+pub fn weight(account: &id::Account, vm: &id::Vm, salt: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (account.as_str(), vm.as_str(), salt).hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Split {
+    /// Derives the split of an account.
+    ///
+    /// An account whose burst does not give each data centre [`Settings::least_cap`] whole tokens
+    /// is split over fewer data centres, because fractions of a token serve no request.
+    pub fn new(settings: &Settings, account: &table::Account, places: &Places) -> Self {
+        let portions = portions(settings, account, places);
+        let whole: u64 = portions.iter().map(|portion| u64::from(portion.weight)).sum();
+        let full = full_share(settings, account);
+        let mut minters = BTreeMap::new();
+        for portion in portions {
+            let share = full.scale(portion.weight.into(), whole);
+            let vms = chosen(settings, account, portion.vms, share);
+            let count = vms.len() as u64;
+            for vm in vms {
+                let data_centre = portion.data_centre.clone();
+                minters.insert(vm, Minter { data_centre, share: share.scale(1, count) });
+            }
+        }
+        let digest = digest(account, &minters);
+        Self { digest, minters }
+    }
+
+    /// Returns the share of a VM, which is nothing where it is no minter.
+    pub fn share(&self, vm: &id::Vm) -> Share {
+        self.minters.get(vm).map_or(Share::NONE, |minter| minter.share)
+    }
+}
+
+struct Portion<'a> {
+    data_centre: &'a id::DataCentre,
+    weight: u32,
+    vms: &'a [id::Vm],
+}
+
+fn full_share(settings: &Settings, account: &table::Account) -> Share {
+    const MILLION: u64 = 1_000_000;
+    let rate = Tokens::whole(account.rate.0);
+    let cap = Tokens::whole(account.burst.into());
+    let slowed = Share { rate, cap }.scale(MILLION - settings.margin_ppm.min(MILLION), MILLION);
+    Share { rate: slowed.rate, cap }
+}
+
+fn portions<'a>(
+    settings: &Settings,
+    account: &table::Account,
+    places: &'a Places,
+) -> Vec<Portion<'a>> {
+    let weight_of = |data_centre| match account.shares.is_empty() {
+        true => 1,
+        false => account.shares.get(data_centre).copied().unwrap_or(0),
+    };
+    let mut portions: Vec<_> = places
+        .iter()
+        .map(|(data_centre, vms)| Portion { data_centre, weight: weight_of(data_centre), vms })
+        .filter(|portion| portion.weight > 0 && !portion.vms.is_empty())
+        .collect();
+    let order = |portion: &Portion<'_>| {
+        let hash = portion.vms.iter().map(|vm| weight(&account.name, vm, "")).max();
+        (portion.weight, hash)
+    };
+    portions.sort_by_key(|portion| std::cmp::Reverse(order(portion)));
+    while portions.len() > 1 && !is_enough(settings, account, &portions) {
+        portions.pop();
+    }
+    portions
+}
+
+fn is_enough(settings: &Settings, account: &table::Account, portions: &[Portion<'_>]) -> bool {
+    let whole: u64 = portions.iter().map(|portion| u64::from(portion.weight)).sum();
+    let least = portions.iter().map(|portion| u64::from(portion.weight)).min().unwrap_or(0);
+    u64::from(account.burst) * least >= u64::from(settings.least_cap) * whole
+}
+
+fn chosen(
+    settings: &Settings,
+    account: &table::Account,
+    vms: &[id::Vm],
+    share: Share,
+) -> Vec<id::Vm> {
+    const VMS_PER_MINTER: usize = 32;
+    const LEAST_MINTERS: usize = 2;
+    const MOST_MINTERS: usize = 4;
+    let by_size = vms.len().div_ceil(VMS_PER_MINTER).clamp(LEAST_MINTERS, MOST_MINTERS);
+    let by_cap = share.cap.0 / Tokens::whole(settings.least_cap.max(1).into()).0;
+    let count = by_size.min(usize::try_from(by_cap).unwrap_or(usize::MAX)).max(1);
+    let mut vms = vms.to_vec();
+    vms.sort_by_key(|vm| std::cmp::Reverse(weight(&account.name, vm, "")));
+    vms.truncate(count);
+    vms
+}
+
+fn digest(account: &table::Account, minters: &BTreeMap<id::Vm, Minter>) -> Digest {
+    let mut hasher = SipHasher13::new();
+    (account.name.as_str(), account.rate.0, account.burst).hash(&mut hasher);
+    for (vm, minter) in minters {
+        let Share { rate, cap } = minter.share;
+        (vm.as_str(), minter.data_centre.as_str(), rate.0, cap.0).hash(&mut hasher);
+    }
+    Digest(hasher.finish().max(1))
+}
