--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -8,7 +8,7 @@
 
 pub use {
     description::{Account, Description, Place, Pool, Route, grant},
-    size::{association, matbakh},
+    size::{association, matbakh, small},
 };
 
 use {
--- a/testutils/src/fleet/description.rs
+++ b/testutils/src/fleet/description.rs
@@ -86,6 +86,8 @@
     pub connections: u32,
     /// How long a run takes.
     pub service: Service,
+    /// How many bytes fill up each answer.
+    pub answer_bytes: usize,
     /// The routes.
     pub routes: Vec<Route>,
     /// The nested calls.
@@ -101,6 +103,7 @@
             slots,
             connections: 400,
             service: Service::default(),
+            answer_bytes: 64,
             routes: vec![route],
             chains: Vec::new(),
         }
@@ -210,6 +213,7 @@
             slots: pool.slots,
             queue: pool.slots as usize * 2,
             service: pool.service,
+            answer_bytes: pool.answer_bytes,
             seed,
             chains: pool.chains.clone(),
             keys: self.accounts.iter().map(|account| self.key(&account.name)).collect(),
--- a/testutils/src/fleet/size.rs
+++ b/testutils/src/fleet/size.rs
@@ -1,4 +1,4 @@
-//! The two deployments of today, scaled down to one machine.
+//! The two deployments of today, scaled down to one machine, and a small fleet for tests.
 
 use {
     super::description::{Account, Description, Pool, Route},
@@ -8,6 +8,28 @@
 /// The mean time of a run without its nested calls, in microseconds.
 const SERVICE_US: u64 = 10_000;
 
+/// Describes two pools with one target each in every data centre, and at least two targets.
+///
+/// A booking at `/bookings` causes a look-up at `/notices`. Both accounts have bought more than a
+/// test sends.
+pub fn small(data_centres: usize) -> Description {
+    const SLOTS: u32 = 32;
+    let targets = data_centres.max(2);
+    let book = Route::once("book", "/bookings", Class::Booking, 1);
+    let bench = Pool::new("bench", targets, SLOTS, book)
+        .route(Route::lookup("slots", "/slots", Class::Browse, 2))
+        .chain("/bookings", "/notices/linked");
+    let notices = Route::lookup("notice", "/notices", Class::Notice, 1);
+    let notice = Pool::new("notice", targets, SLOTS, notices);
+    Description {
+        accounts: vec![
+            Account::new("chonburi", 10_000, 10_000),
+            Account::new("rayong", 10_000, 10_000),
+        ],
+        ..Description::new(data_centres, vec![bench, notice])
+    }
+}
+
 /// Describes the services for harness shops: 13 VMs in three data centres.
 ///
 /// Slots and rates are scaled by `scale`. The notice pool is the narrowest: all accounts together
--- a/testutils/src/target/handler.rs
+++ b/testutils/src/target/handler.rs
@@ -8,7 +8,10 @@
         http::header,
         web::{self, Bytes, Data, Json, PayloadConfig, ServiceConfig},
     },
-    futures::stream::{self, Stream, StreamExt as _},
+    futures::{
+        future,
+        stream::{self, Stream, StreamExt as _},
+    },
     std::{
         io,
         net::SocketAddr,
@@ -77,7 +80,7 @@
     }
     let path = request.uri().to_string();
     let run = Running::begin(&shared, &request, &body);
-    if faults.crash_on.is_some_and(|crash| path.starts_with(&crash)) {
+    if faults.crash_on.as_ref().is_some_and(|crash| path.starts_with(crash)) {
         shared.crash();
         // The connection ends with the server, without an answer.
         std::future::pending::<()>().await;
@@ -89,7 +92,7 @@
     if !is_whole {
         return HttpResponse::BadGateway().finish();
     }
-    answer(&shared, &request, &body, faults.cut_after)
+    answer(&shared, &request, &body, &faults)
 }
 
 fn shed(shared: &Shared) -> HttpResponse {
@@ -105,33 +108,40 @@
     format!("{:.3}", f64::from(load.in_flight) / f64::from(load.slots))
 }
 
-fn answer(shared: &Shared, request: &HttpRequest, body: &[u8], cut: Option<usize>) -> HttpResponse {
+fn answer(shared: &Shared, request: &HttpRequest, body: &[u8], faults: &Faults) -> HttpResponse {
     let method = request.method().as_str();
     let path = request.uri().to_string();
     let answer = Answer::new(method, &path, body, shared.settings.answer_bytes);
     let text = serde_json::to_vec(&answer).expect("an answer has only texts");
+    let length = text.len();
     let mut response = HttpResponse::Ok();
     response
         .insert_header((header::CONTENT_TYPE, "application/json"))
         .insert_header((LOAD, load_fraction(shared)));
-    match cut {
-        Some(cut) if cut < text.len() => {
-            let length = text.len() as u64;
-            let part = Bytes::copy_from_slice(&text[..cut]);
-            response.body(SizedStream::new(length, cut_stream(part)))
-        }
-        _ => response.body(text),
+    if faults.cut_after.is_none() && !faults.chunked {
+        return response.body(text);
+    }
+    let part = Bytes::from(text).slice(..faults.cut_after.unwrap_or(length).min(length));
+    let is_cut = part.len() < length;
+    let stream = part_stream(part, is_cut);
+    if faults.chunked {
+        response.streaming(Box::pin(stream))
+    } else {
+        response.body(SizedStream::new(length as u64, stream))
     }
 }
 
-fn cut_stream(part: Bytes) -> impl Stream<Item = io::Result<Bytes>> {
+fn part_stream(part: Bytes, is_cut: bool) -> impl Stream<Item = io::Result<Bytes>> {
     // Without a pause the server drops the part together with the connection.
     const PAUSE: Duration = Duration::from_millis(20);
-    let end = async {
+    let end = async move {
+        if !is_cut {
+            return None;
+        }
         tokio::time::sleep(PAUSE).await;
-        Err(io::Error::from(io::ErrorKind::ConnectionReset))
+        Some(Err(io::Error::from(io::ErrorKind::ConnectionReset)))
     };
-    stream::once(async { Ok(part) }).chain(stream::once(end))
+    stream::once(async { Some(Ok(part)) }).chain(stream::once(end)).filter_map(future::ready)
 }
 
 /// Makes the nested calls of a request and tells whether all of them succeeded.
@@ -226,6 +236,7 @@
         let path = request.uri().to_string();
         let run = Run {
             request: text(request, "Monsoon-Request"),
+            context: text(request, CONTEXT),
             account: text(request, "Monsoon-Account"),
             digest: request_digest(&method, &path, body),
             idempotency_key: text(request, IDEMPOTENCY_KEY),
--- a/testutils/src/target/run.rs
+++ b/testutils/src/target/run.rs
@@ -12,6 +12,8 @@
     pub number: u64,
     /// The root request, as the node names it.
     pub request: Option<String>,
+    /// The call context, as the node issued it.
+    pub context: Option<String>,
     /// The method.
     pub method: String,
     /// The path with its query.
--- a/testutils/src/target/settings.rs
+++ b/testutils/src/target/settings.rs
@@ -59,6 +59,8 @@
     pub crash_on: Option<String>,
     /// The connection is closed after this number of bytes of an answer's body.
     pub cut_after: Option<usize>,
+    /// Answers are sent in chunks, without their length.
+    pub chunked: bool,
     /// The time between the end of a run and its answer, in milliseconds.
     pub delay_ms: u64,
     /// The number of requests in flight that the target claims to have.
@@ -77,6 +79,7 @@
             cold_slow: 10.0,
             crash_on: None,
             cut_after: None,
+            chunked: false,
             delay_ms: 0,
             load: None,
             load_frozen: false,
