node: all decisions of one VM, composed

A node takes events and returns actions, without input, output or a clock. It joins membership, tables, rates, pressure, balance, admission, retries and call contexts, so that a driver decides nothing itself.

--- /dev/null
+++ b/daemon/src/machine.rs
@@ -0,0 +1,199 @@
+//! The actor that owns the model and carries out its actions.
+//!
+//! It keeps what the model must not hold: bodies, answers, and the tasks that wait for targets and
+//! peers. Each task carries a number, so that the result of an aborted task is never taken for
+//! the result of a later one of the same call.
+
+mod event;
+mod work;
+
+pub use event::{
+    Arrived, Done, Drain, Dump, Explain, Gone, Knows, Listed, Offered, Published, Received, Reply,
+    Waiter,
+};
+
+use {
+    crate::{
+        clock,
+        http::message::{Answer, Request},
+        peer::link::Links,
+        platform::Platform,
+        target::Target,
+    },
+    actix::{Actor, AsyncContext, Context},
+    event::Answered,
+    monsoon_lib::{
+        id,
+        node::{Action, Event, Node, Trailer},
+        time::Instant,
+    },
+    std::{collections::HashMap, rc::Rc, time::Duration},
+    tokio::{sync::oneshot, task::JoinHandle},
+};
+
+/// How often the model gets its tick.
+const TICK: Duration = Duration::from_millis(10);
+
+/// One call in flight.
+struct Open {
+    request: Rc<Request>,
+    waiter: oneshot::Sender<Done>,
+    answer: Option<Answer>,
+    task: Option<Task>,
+}
+
+/// A task that waits for the target or a peer.
+struct Task {
+    number: u64,
+    handle: JoinHandle<()>,
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.handle.abort();
+    }
+}
+
+/// Owns the model and everything that it acts on.
+pub struct Machine {
+    node: Node,
+    calls: HashMap<id::Call, Open>,
+    kept: HashMap<u64, Answer>,
+    links: Links,
+    target: Target,
+    platform: Platform,
+    tasks: u64,
+    exit: Option<oneshot::Sender<()>>,
+}
+
+impl Machine {
+    /// Makes the actor. `exit` is told when all work is finished after a drain.
+    pub fn new(
+        node: Node,
+        links: Links,
+        target: Target,
+        platform: Platform,
+        exit: oneshot::Sender<()>,
+    ) -> Self {
+        Self {
+            node,
+            calls: HashMap::new(),
+            kept: HashMap::new(),
+            links,
+            target,
+            platform,
+            tasks: 0,
+            exit: Some(exit),
+        }
+    }
+
+    fn handle_event(&mut self, event: Event, context: &mut Context<Self>) {
+        self.handle_at(clock::now(), event, context);
+    }
+
+    fn handle_at(&mut self, now: Instant, event: Event, context: &mut Context<Self>) {
+        for action in self.node.handle(now, event) {
+            self.act(action, context);
+        }
+    }
+
+    fn act(&mut self, action: Action, context: &mut Context<Self>) {
+        match action {
+            Action::Run { call, context: token, offer } => {
+                self.run(call, token, offer, context.address());
+            }
+            Action::Forward { call, to, offer } => self.forward(call, &to, offer, context),
+            Action::Answer { call, trailer } => self.answer(call, trailer),
+            Action::Refuse { call, refusal, trailer, limit } => {
+                self.close(call, Done { reply: Reply::Refuse { refusal, limit }, trailer });
+            }
+            Action::Keep { call, handle } => self.keep(call, handle),
+            Action::Replay { call, handle } => self.replay(call, handle),
+            Action::Forget { handle } => {
+                self.kept.remove(&handle);
+            }
+            Action::Abort { call } => self.abort(call),
+            Action::Send { to, messages } => {
+                if let Some(address) = self.node.address_of(&to) {
+                    self.links.exchange(&to, address, &messages);
+                }
+            }
+            Action::Read { after, wait } => self.read(after, wait, context.address()),
+            Action::List => self.list(context.address()),
+            Action::InForce(tables) => {
+                log::info!("Tables of revision {} are in force.", tables.revision());
+            }
+            Action::Exit => self.finish(),
+        }
+    }
+
+    fn open(&mut self, call: id::Call, request: Request, waiter: oneshot::Sender<Done>) {
+        let open = Open { request: Rc::new(request), waiter, answer: None, task: None };
+        self.calls.insert(call, open);
+    }
+
+    fn close(&mut self, call: id::Call, done: Done) {
+        if let Some(open) = self.calls.remove(&call) {
+            // The one who waited may have gone, and then nobody needs the result.
+            let _ = open.waiter.send(done);
+        }
+    }
+
+    fn answer(&mut self, call: id::Call, trailer: Trailer) {
+        let Some(mut open) = self.calls.remove(&call) else { return };
+        let Some(answer) = open.answer.take() else {
+            return log::error!("Call {call} has no answer to pass on.");
+        };
+        let _ = open.waiter.send(Done { reply: Reply::Answer(answer), trailer });
+    }
+
+    fn keep(&mut self, call: id::Call, handle: u64) {
+        let answer = self.calls.get(&call).and_then(|open| open.answer.clone());
+        if let Some(answer) = answer {
+            self.kept.insert(handle, answer);
+        }
+    }
+
+    fn replay(&mut self, call: id::Call, handle: u64) {
+        let Some(answer) = self.kept.get(&handle).cloned() else {
+            return log::error!("Call {call} has no kept answer.");
+        };
+        self.close(call, Done { reply: Reply::Answer(answer), trailer: Trailer::default() });
+    }
+
+    fn abort(&mut self, call: id::Call) {
+        if let Some(open) = self.calls.get_mut(&call) {
+            open.task = None;
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(exit) = self.exit.take() {
+            let _ = exit.send(());
+        }
+    }
+
+    /// Takes the result of a task, unless the task was aborted.
+    fn take_task(&mut self, answered: &Answered) -> bool {
+        let Some(open) = self.calls.get_mut(&answered.call) else { return false };
+        if open.task.as_ref().is_none_or(|task| task.number != answered.task) {
+            return false;
+        }
+        open.task = None;
+        true
+    }
+}
+
+impl Actor for Machine {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        /// Requests wait in the mailbox only for as long as one event takes, so it has no bound of
+        /// its own; the listeners bound the requests in flight.
+        const MAILBOX: usize = usize::MAX >> 8;
+        context.set_mailbox_capacity(MAILBOX);
+        context.run_interval(TICK, |machine, context| {
+            machine.handle_event(Event::Ticked, context);
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/machine/work.rs
@@ -0,0 +1,99 @@
+//! The tasks that wait for the target, for peers and for the platform.
+
+use {
+    super::{
+        Machine, Task,
+        event::{Answered, Done, Listed, Published, Reply, Result},
+    },
+    crate::{peer::link, target::Run},
+    actix::{Addr, AsyncContext, Context},
+    monsoon_lib::{
+        call::Offer,
+        context::Token,
+        id,
+        node::{Returned, Trailer},
+        unit::Revision,
+    },
+    std::time::Duration,
+};
+
+impl Machine {
+    pub(super) fn run(&mut self, call: id::Call, token: Token, offer: Offer, machine: Addr<Self>) {
+        let Some(open) = self.calls.get(&call) else { return };
+        let run = self.target.run(open.request.clone(), token, offer);
+        self.start(call, async move |task| {
+            let Run { ended, answer } = run.await;
+            machine.do_send(Answered { call, task, answer, result: Result::Ended(ended) });
+        });
+    }
+
+    pub(super) fn forward(
+        &mut self,
+        call: id::Call,
+        to: &id::Vm,
+        offer: Offer,
+        context: &mut Context<Self>,
+    ) {
+        let Some(open) = self.calls.get(&call) else { return };
+        let machine = context.address();
+        let Some(address) = self.node.address_of(to) else {
+            let result =
+                Result::Returned { returned: Returned::Unreachable, trailer: Trailer::default() };
+            return self.start(call, async move |task| {
+                machine.do_send(Answered { call, task, answer: None, result });
+            });
+        };
+        let sent = self.links.call(to, address, offer, open.request.clone());
+        self.start(call, async move |task| {
+            let answered = returned(call, task, sent.await);
+            machine.do_send(answered);
+        });
+    }
+
+    fn start<F: Future<Output = ()> + 'static>(
+        &mut self,
+        call: id::Call,
+        work: impl FnOnce(u64) -> F,
+    ) {
+        self.tasks += 1;
+        let number = self.tasks;
+        let handle = actix_rt::spawn(work(number));
+        if let Some(open) = self.calls.get_mut(&call) {
+            open.task = Some(Task { number, handle });
+        }
+    }
+
+    pub(super) fn read(&mut self, after: Revision, wait: Duration, machine: Addr<Self>) {
+        let platform = self.platform.clone();
+        actix_rt::spawn(async move {
+            machine.do_send(Published(platform.values(after, wait).await));
+        });
+    }
+
+    pub(super) fn list(&mut self, machine: Addr<Self>) {
+        let platform = self.platform.clone();
+        actix_rt::spawn(async move {
+            machine.do_send(Listed(platform.vms().await));
+        });
+    }
+}
+
+fn returned(call: id::Call, task: u64, result: std::result::Result<Done, link::Error>) -> Answered {
+    let (returned, trailer, answer) = match result {
+        Ok(Done { reply: Reply::Answer(answer), trailer }) => {
+            (Returned::Answered { status: answer.status }, trailer, Some(answer))
+        }
+        Ok(Done { reply: Reply::Refuse { refusal, .. }, trailer }) => {
+            (Returned::Refused(refusal), trailer, None)
+        }
+        Err(link::Error::Unreachable(error)) => {
+            log::debug!("call {call} was not sent: {error}");
+            (Returned::Unreachable, Trailer::default(), None)
+        }
+        Err(link::Error::Broken(error)) => {
+            log::debug!("call {call} broke: {error}");
+            (Returned::Broken, Trailer::default(), None)
+        }
+    };
+    Answered { call, task, answer, result: Result::Returned { returned, trailer } }
+}
--- /dev/null
+++ b/daemon/src/peer/gate.rs
@@ -0,0 +1,195 @@
+//! The end of a link that accepts: proves itself, checks the peer and takes its calls.
+
+use {
+    super::{
+        codec,
+        proof::{End, Role, Transcript},
+    },
+    crate::{
+        http::front::Numbers,
+        machine::{Knows, Machine, Offered, Received, Waiter},
+        peer_capnp::{gate, peer},
+    },
+    actix::Addr,
+    capnp::{Error, capability::Rc, message::ReaderOptions},
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::{AsyncReadExt, FutureExt},
+    monsoon_lib::{id, settings::Secret},
+    std::{cell::RefCell, io, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::oneshot,
+    },
+    tokio_util::compat::TokioAsyncReadCompatExt,
+};
+
+/// How long a new connection may take to prove itself.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(5);
+/// The most messages of control that one exchange may carry, in bytes.
+pub const MAX_BATCH_BYTES: usize = 2 << 20;
+/// What a message may hold besides the largest body, in bytes.
+const OVERHEAD_BYTES: u64 = 4 << 20;
+
+/// What the accepting end needs to know.
+#[derive(Clone)]
+pub struct Context {
+    /// The VM of this node.
+    pub vm: id::Vm,
+    /// This life of its process.
+    pub incarnation: id::Incarnation,
+    /// The secret of the fleet.
+    pub secret: Secret,
+    /// Where calls go.
+    pub machine: Addr<Machine>,
+    /// The source of call numbers.
+    pub numbers: Numbers,
+    /// The largest body, in bytes.
+    pub body_bytes: u64,
+}
+
+/// Bounds what a peer's message may make this process allocate.
+pub fn reader_options(body_bytes: u64) -> ReaderOptions {
+    const WORD_BYTES: u64 = 8;
+    let words = usize::try_from((body_bytes + OVERHEAD_BYTES) / WORD_BYTES).unwrap_or(usize::MAX);
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(words));
+    options
+}
+
+/// Accepts peers until the listener fails.
+///
+/// # Errors
+///
+/// Fails where the listener can't accept any more.
+pub async fn serve(listener: TcpListener, context: Context) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let context = context.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = serve_link(stream, context).await {
+                log::debug!("link closed: {error}");
+            }
+        });
+    }
+}
+
+async fn serve_link(stream: TcpStream, context: Context) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    let options = reader_options(context.body_bytes);
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(reader, writer, Side::Server, options);
+    let (proved, is_proved) = oneshot::channel();
+    let door = Gate { context, client: RefCell::new(None), proved: RefCell::new(Some(proved)) };
+    let door: gate::Client = capnp_rpc::new_client(door);
+    let mut system = RpcSystem::new(Box::new(network), Some(door.client)).fuse();
+    let proof = tokio::time::timeout(PROOF_TIMEOUT, is_proved);
+    futures::select! {
+        ended = system => return ended,
+        proved = proof.fuse() => if !matches!(proved, Ok(Ok(()))) {
+            return Err(Error::failed("the peer did not prove itself".into()));
+        },
+    }
+    system.await
+}
+
+/// What a connection can reach before it has proved itself.
+struct Gate {
+    context: Context,
+    client: RefCell<Option<Transcript>>,
+    proved: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let client = End {
+            vm: params.get_vm()?.to_str()?.parse().map_err(codec::Error::Name)?,
+            incarnation: id::Incarnation(params.get_incarnation()),
+            nonce: params.get_nonce()?.to_vec(),
+        };
+        let server = End::new(self.context.vm.clone(), self.context.incarnation);
+        let transcript = Transcript { client, server };
+        let mut to = results.get();
+        to.set_vm(transcript.server.vm.as_str());
+        to.set_incarnation(transcript.server.incarnation.0);
+        to.set_nonce(&transcript.server.nonce);
+        to.set_proof(&transcript.prove(&self.context.secret, Role::Server));
+        self.client.replace(Some(transcript));
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), Error> {
+        let refused = || Error::failed("the proof is not valid".into());
+        let transcript = self.client.take().ok_or_else(refused)?;
+        let proof = params.get()?.get_proof()?;
+        if !transcript.is_proved(&self.context.secret, Role::Client, proof) {
+            return Err(refused());
+        }
+        let client = transcript.client;
+        let knows = self.context.machine.send(Knows(client.vm.clone())).await;
+        if !knows.unwrap_or(false) {
+            log::warn!("{} is no VM of this fleet.", client.vm);
+            return Err(refused());
+        }
+        if let Some(proved) = self.proved.take() {
+            let _ = proved.send(());
+        }
+        let served =
+            Peer { context: self.context.clone(), vm: client.vm, incarnation: client.incarnation };
+        results.get().set_peer(capnp_rpc::new_client(served));
+        Ok(())
+    }
+}
+
+/// What a peer can reach after it has proved itself.
+struct Peer {
+    context: Context,
+    vm: id::Vm,
+    incarnation: id::Incarnation,
+}
+
+impl peer::Server for Peer {
+    async fn call(
+        self: Rc<Self>,
+        params: peer::CallParams,
+        mut results: peer::CallResults,
+    ) -> Result<(), Error> {
+        let (offer, request) = codec::read_request(params.get()?.get_request()?)?;
+        drop(params);
+        if request.body.len() as u64 > self.context.body_bytes {
+            return Err(Error::failed("the body is over the bound".into()));
+        }
+        let call = self.context.numbers.next();
+        let (reply, answered) = oneshot::channel();
+        let machine = self.context.machine.clone();
+        let waiter = Waiter::new(call, machine.clone());
+        machine.do_send(Offered { call, from: self.vm.clone(), offer, request, reply });
+        let done = answered.await.map_err(|_| Error::failed("the node is leaving".into()))?;
+        waiter.answered();
+        codec::write_reply(results.get().init_reply(), &done)?;
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        _results: peer::ExchangeResults,
+    ) -> Result<(), Error> {
+        let batch = params.get()?.get_batch()?;
+        if batch.len() > MAX_BATCH_BYTES {
+            return Err(Error::failed("the batch is over the bound".into()));
+        }
+        let messages = postcard::from_bytes(batch).map_err(codec::Error::Trailer)?;
+        let from = self.vm.clone();
+        self.context.machine.do_send(Received { from, incarnation: self.incarnation, messages });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/daemon/src/peer/link.rs
@@ -0,0 +1,245 @@
+//! The end of a link that opens it: proves itself, checks the peer and sends calls.
+//!
+//! A link is opened when it is first needed and again after it broke. Whether a failed call may have
+//! reached the peer decides what its caller is told; see docs/design/outcome.md.
+
+use {
+    super::{
+        codec,
+        gate::{MAX_BATCH_BYTES, reader_options},
+        proof::{End, Role, Transcript},
+    },
+    crate::{
+        http::message::Request,
+        machine::Done,
+        peer_capnp::{gate, peer},
+    },
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::AsyncReadExt,
+    monsoon_lib::{call::Offer, id, node::Message, settings::Secret},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{net::TcpStream, sync::Mutex},
+    tokio_util::compat::TokioAsyncReadCompatExt,
+};
+
+/// How long a link may take to open.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The most exchanges of control messages that may wait on one link.
+const MAX_EXCHANGES: u32 = 8;
+
+/// Why a call to a peer has no result.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The link can't be opened, so nothing was sent.
+    #[error("the link can't be opened: {0}")]
+    Unreachable(Open),
+    /// The link broke after the call may have been sent.
+    #[error("the link broke: {0}")]
+    Broken(#[from] codec::Error),
+}
+
+/// Why a link can't be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum Open {
+    /// The connection failed.
+    #[error("{0}")]
+    Connect(#[from] std::io::Error),
+    /// The peer did not answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The handshake failed.
+    #[error("{0}")]
+    Handshake(#[from] capnp::Error),
+    /// The peer's answer is not well formed.
+    #[error("{0}")]
+    Malformed(#[from] codec::Error),
+    /// The peer did not prove that it is the expected VM of this fleet.
+    #[error("the peer is not {0} of this fleet")]
+    Stranger(id::Vm),
+}
+
+/// Who this node is towards its peers.
+#[derive(Clone)]
+pub struct Identity {
+    /// The VM.
+    pub vm: id::Vm,
+    /// This life of its process.
+    pub incarnation: id::Incarnation,
+    /// The secret of the fleet.
+    pub secret: Secret,
+    /// The largest body, in bytes.
+    pub body_bytes: u64,
+}
+
+/// An open link.
+struct Up {
+    peer: peer::Client,
+    is_open: Rc<Cell<bool>>,
+}
+
+/// The link to one peer.
+struct Link {
+    vm: id::Vm,
+    address: SocketAddr,
+    identity: Rc<Identity>,
+    up: Mutex<Option<Up>>,
+    exchanges: Cell<u32>,
+}
+
+impl Link {
+    async fn open(&self) -> Result<peer::Client, Open> {
+        let mut up = self.up.lock().await;
+        if let Some(up) = up.as_ref()
+            && up.is_open.get()
+        {
+            return Ok(up.peer.clone());
+        }
+        *up = None;
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, self.connect()).await;
+        let opened = opened.map_err(|_| Open::Timeout)??;
+        let peer = opened.peer.clone();
+        *up = Some(opened);
+        Ok(peer)
+    }
+
+    async fn connect(&self) -> Result<Up, Open> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let options = reader_options(self.identity.body_bytes);
+        let (reader, writer) = stream.compat().split();
+        let network = VatNetwork::new(reader, writer, Side::Client, options);
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: gate::Client = system.bootstrap(Side::Server);
+        let is_open = Rc::new(Cell::new(true));
+        let closed = is_open.clone();
+        let vm = self.vm.clone();
+        actix_rt::spawn(async move {
+            let ended = system.await;
+            closed.set(false);
+            if let Err(error) = ended {
+                log::debug!("link to {vm} closed: {error}");
+            }
+        });
+        let peer = self.enter(&gate).await?;
+        Ok(Up { peer, is_open })
+    }
+
+    async fn enter(&self, gate: &gate::Client) -> Result<peer::Client, Open> {
+        let client = End::new(self.identity.vm.clone(), self.identity.incarnation);
+        let mut hello = gate.hello_request();
+        let mut to = hello.get();
+        to.set_vm(client.vm.as_str());
+        to.set_incarnation(client.incarnation.0);
+        to.set_nonce(&client.nonce);
+        let answer = hello.send().promise.await?;
+        let answer = answer.get()?;
+        let vm = answer.get_vm()?.to_str().map_err(codec::Error::Text)?;
+        let server = End {
+            vm: vm.parse().map_err(codec::Error::Name)?,
+            incarnation: id::Incarnation(answer.get_incarnation()),
+            nonce: answer.get_nonce()?.to_vec(),
+        };
+        let transcript = Transcript { client, server };
+        let secret = &self.identity.secret;
+        let is_proved = transcript.is_proved(secret, Role::Server, answer.get_proof()?);
+        if !is_proved || transcript.server.vm != self.vm {
+            return Err(Open::Stranger(self.vm.clone()));
+        }
+        let mut enter = gate.enter_request();
+        enter.get().set_proof(&transcript.prove(secret, Role::Client));
+        let entered = enter.send().promise.await?;
+        Ok(entered.get()?.get_peer()?)
+    }
+
+    async fn call(&self, offer: &Offer, request: &Request) -> Result<Done, Error> {
+        let peer = self.open().await.map_err(Error::Unreachable)?;
+        let mut call = peer.call_request();
+        codec::write_request(call.get().init_request(), offer, request);
+        let answer = call.send().promise.await.map_err(codec::Error::Capnp)?;
+        let answer = answer.get().map_err(codec::Error::Capnp)?;
+        Ok(codec::read_reply(answer.get_reply().map_err(codec::Error::Capnp)?)?)
+    }
+
+    async fn exchange(&self, batch: &[u8]) -> Result<(), Error> {
+        let peer = self.open().await.map_err(Error::Unreachable)?;
+        let mut exchange = peer.exchange_request();
+        exchange.get().set_batch(batch);
+        exchange.send().promise.await.map_err(codec::Error::Capnp)?;
+        Ok(())
+    }
+}
+
+/// All links that this node opens.
+pub struct Links {
+    identity: Rc<Identity>,
+    links: RefCell<HashMap<id::Vm, Rc<Link>>>,
+}
+
+impl Links {
+    /// Makes an empty set of links.
+    pub fn new(identity: Identity) -> Self {
+        Self { identity: Rc::new(identity), links: RefCell::default() }
+    }
+
+    /// Returns the link to a peer, a new one where the peer has moved.
+    fn link(&self, vm: &id::Vm, address: SocketAddr) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        if let Some(link) = links.get(vm)
+            && link.address == address
+        {
+            return link.clone();
+        }
+        let link = Rc::new(Link {
+            vm: vm.clone(),
+            address,
+            identity: self.identity.clone(),
+            up: Mutex::default(),
+            exchanges: Cell::new(0),
+        });
+        links.insert(vm.clone(), link.clone());
+        link
+    }
+
+    /// Drops the link to a peer that is gone. Calls on it break.
+    pub fn drop_link(&self, vm: &id::Vm) {
+        self.links.borrow_mut().remove(vm);
+    }
+
+    /// Sends a call and waits for what becomes of it. Dropping the future cancels the call.
+    pub fn call(
+        &self,
+        vm: &id::Vm,
+        address: SocketAddr,
+        offer: Offer,
+        request: Rc<Request>,
+    ) -> impl Future<Output = Result<Done, Error>> + use<> {
+        let link = self.link(vm, address);
+        async move { link.call(&offer, &request).await }
+    }
+
+    /// Sends control messages, or drops them where the link is behind: every protocol of the model
+    /// bears loss, and none bears a queue without bound.
+    pub fn exchange(&self, vm: &id::Vm, address: SocketAddr, messages: &[Message]) {
+        let link = self.link(vm, address);
+        let batch = match postcard::to_stdvec(messages) {
+            Ok(batch) if batch.len() <= MAX_BATCH_BYTES => batch,
+            _ => return log::error!("A batch for {vm} can't be encoded."),
+        };
+        if link.exchanges.get() >= MAX_EXCHANGES {
+            return;
+        }
+        link.exchanges.set(link.exchanges.get() + 1);
+        actix_rt::spawn(async move {
+            if let Err(error) = link.exchange(&batch).await {
+                log::debug!("exchange with {} failed: {error}", link.vm);
+            }
+            link.exchanges.set(link.exchanges.get() - 1);
+        });
+    }
+}
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -6,7 +6,7 @@
 use {
     crate::{id, table::Class},
     serde::{Deserialize, Serialize},
-    std::{fmt, time::Duration},
+    std::{fmt, str::FromStr, time::Duration},
 };
 
 /// Whether a refused request may have run.
@@ -100,6 +100,27 @@
         }
     }
 
+    /// All reasons.
+    pub const ALL: [Self; 17] = [
+        Self::NoRoute,
+        Self::Key,
+        Self::Malformed,
+        Self::TooLarge,
+        Self::NoTables,
+        Self::Rate,
+        Self::Overload,
+        Self::Deadline,
+        Self::Cancelled,
+        Self::NoTarget,
+        Self::Leaving,
+        Self::Broken,
+        Self::Crasher,
+        Self::Duplicate,
+        Self::KeyReuse,
+        Self::Context,
+        Self::Depth,
+    ];
+
     /// Tells whether a resend to another target can help where the request did not run.
     pub const fn is_retryable(self) -> bool {
         matches!(self, Self::Overload | Self::NoTarget | Self::Leaving | Self::Broken)
@@ -112,6 +133,20 @@
     }
 }
 
+/// The text is not the name of a reason.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("unknown reason {0:?}")]
+pub struct ReasonError(String);
+
+impl FromStr for Reason {
+    type Err = ReasonError;
+
+    fn from_str(text: &str) -> Result<Self, ReasonError> {
+        let found = Self::ALL.into_iter().find(|reason| reason.as_str() == text);
+        found.ok_or_else(|| ReasonError(text.into()))
+    }
+}
+
 /// A request that got no answer from a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
--- /dev/null
+++ b/lib/src/node/dispatch.rs
@@ -0,0 +1,262 @@
+//! The node's part as the sender of a call: it picks targets, forwards and tries again.
+
+use {
+    super::{
+        Action, Node,
+        call::{Call, HOP_MARGIN, Origin, Stage},
+        event::{Returned, Trailer},
+    },
+    crate::{
+        admission::Kind,
+        call::{Offer, Outcome, Reason, Refusal},
+        id, pressure, retry,
+    },
+    std::time::Duration,
+};
+
+/// How often a call that no target saw is sent elsewhere at once, at no cost to its budget.
+const MAX_REROUTES: u8 = 2;
+
+impl Node {
+    /// Starts the next attempt of a call.
+    pub(super) fn dispatch(&mut self, call: id::Call) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        let pool = state.offer.pool.clone();
+        let is_first = state.attempts == 0;
+        state.attempts += 1;
+        let picker = self.pickers.get_mut(&pool);
+        let Some(vm) = picker.and_then(|picker| picker.pick(now, &state.tried)) else {
+            return self.settle(call, Refusal::not_run(Reason::NoTarget), true);
+        };
+        if is_first {
+            self.retries.first_send(now, &pool);
+        }
+        if let Some(picker) = self.pickers.get_mut(&pool) {
+            picker.started(&vm);
+        }
+        if vm == self.me {
+            return self.admit(call);
+        }
+        let part = state.budget.split();
+        let retries = part.size();
+        let remaining = state.remaining(now).saturating_sub(HOP_MARGIN);
+        let offer = Offer { remaining, retries, ..state.offer.clone() };
+        state.stage = Stage::Forwarded { to: vm.clone(), since: now, part };
+        self.act(Action::Forward { call, to: vm, offer });
+    }
+
+    /// Takes what a peer made of a call.
+    pub(super) fn returned(&mut self, call: id::Call, returned: Returned, trailer: Trailer) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        let stage = std::mem::replace(&mut state.stage, Stage::Backoff { until: now });
+        let Stage::Forwarded { to, since, part } = stage else {
+            state.stage = stage;
+            return;
+        };
+        state.budget.give_back(part, trailer.unspent);
+        let pool = state.offer.pool.clone();
+        merge(&mut state.pools, &trailer.pools);
+        self.learn(&pool, &to, trailer.pressure);
+        let (kind, refusal) = match returned {
+            Returned::Answered { status } => (kind_of_status(status), None),
+            Returned::Refused(refusal) => (kind_of_refusal(&refusal), Some(refusal)),
+            Returned::Unreachable => (Kind::Broken, Some(Refusal::not_run(Reason::Broken))),
+            Returned::Broken => (Kind::Broken, Some(Refusal::unknown(Reason::Broken))),
+        };
+        if let Some(picker) = self.pickers.get_mut(&pool) {
+            picker.finished(now, &to, kind, now.since(since));
+        }
+        match refusal {
+            None => self.answer(call),
+            Some(refusal) => {
+                self.mark_tried(call, to);
+                self.settle(call, refusal, false);
+            }
+        }
+    }
+
+    fn learn(&mut self, pool: &id::Pool, vm: &id::Vm, pressure: Vec<pressure::Relayed>) {
+        let now = self.now;
+        for relayed in pressure {
+            if relayed.vm == *vm
+                && let Some(picker) = self.pickers.get_mut(pool)
+            {
+                picker.report(now, vm, &relayed.report);
+            }
+            self.board.note(now, relayed);
+        }
+    }
+
+    pub(super) fn mark_tried(&mut self, call: id::Call, vm: id::Vm) {
+        if let Some(state) = self.calls.get_mut(&call) {
+            state.tried.push(vm);
+        }
+    }
+
+    /// Tries again after a failed attempt, or gives up.
+    pub(super) fn settle(&mut self, call: id::Call, refusal: Refusal, is_everywhere: bool) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        state.may_have_run |= refusal.outcome == Outcome::Unknown;
+        if !state.is_upstream() {
+            return self.give_up(call, refusal);
+        }
+        if is_misrouted(&refusal) && state.reroutes < MAX_REROUTES && !is_everywhere {
+            state.reroutes += 1;
+            return self.dispatch(call);
+        }
+        let is_pressed =
+            self.board.is_pressed(now, &state.offer.pool, state.offer.class, &state.offer.account);
+        let is_everywhere = is_everywhere || is_pressed;
+        let attempt = retry::Attempt { number: state.attempts, is_everywhere };
+        let offer = state.offer_at(now);
+        match self.retries.decide(now, &offer, &mut state.budget, &refusal, attempt) {
+            Some(wait) => {
+                let until = now + wait;
+                state.stage = Stage::Backoff { until };
+                self.timers.insert((until, call));
+            }
+            None => self.give_up(call, refusal),
+        }
+    }
+
+    /// Ends a call with a refusal that is true for all its attempts together.
+    pub(super) fn give_up(&mut self, call: id::Call, refusal: Refusal) {
+        let Some(state) = self.close(call) else { return };
+        let refusal = match state.may_have_run {
+            true => Refusal { outcome: Outcome::Unknown, ..refusal },
+            false => refusal,
+        };
+        self.counts.refused(refusal.reason);
+        let trailer = self.trailer(&state);
+        self.act(Action::Refuse { call, refusal, trailer, limit: None });
+    }
+
+    /// Ends a call with the answer that the driver holds.
+    pub(super) fn answer(&mut self, call: id::Call) {
+        let Some(state) = self.close(call) else { return };
+        self.counts.answered += 1;
+        self.board.learn(&state.offer.route, &state.pools);
+        let trailer = self.trailer(&state);
+        self.act(Action::Answer { call, trailer });
+    }
+
+    fn trailer(&mut self, state: &Call) -> Trailer {
+        if state.is_upstream() {
+            return Trailer::default();
+        }
+        let mut pressure = self.board.relay(self.now, &state.offer.route);
+        pressure.push(pressure::Relayed {
+            pool: state.offer.pool.clone(),
+            vm: self.me.clone(),
+            age: Duration::ZERO,
+            report: self.gate.pressure(self.now),
+        });
+        Trailer { unspent: state.budget.left(), pressure, pools: state.pools.clone() }
+    }
+
+    /// Takes a call out of the node's state and returns what it held to its parent.
+    pub(super) fn close(&mut self, call: id::Call) -> Option<Call> {
+        let mut state = self.calls.remove(&call)?;
+        self.timers.remove(&(state.deadline, call));
+        if let Stage::Backoff { until } = state.stage {
+            self.timers.remove(&(until, call));
+        }
+        if let Origin::Target { parent } = state.origin {
+            let part = state.part.take();
+            self.give_back(&state.origin, part, state.budget.left());
+            if let Some(parent) = self.calls.get_mut(&parent) {
+                parent.children.retain(|child| *child != call);
+                merge(&mut parent.pools, std::slice::from_ref(&state.offer.pool));
+                merge(&mut parent.pools, &state.pools);
+            }
+        }
+        Some(state)
+    }
+
+    /// Gives unspent attempts of a nested call back to its parent.
+    pub(super) fn give_back(&mut self, origin: &Origin, part: Option<retry::Part>, unspent: u8) {
+        if let (Origin::Target { parent }, Some(part)) = (origin, part)
+            && let Some(parent) = self.calls.get_mut(parent)
+        {
+            parent.budget.give_back(part, unspent);
+        }
+    }
+
+    /// Drops all work on a call for which nobody waits any more.
+    pub(super) fn gone(&mut self, call: id::Call) {
+        self.cancel_work(call);
+        if self.close(call).is_some() {
+            self.counts.refused(Reason::Cancelled);
+        }
+    }
+
+    /// Stops whatever a call waits for, at this node and below.
+    pub(super) fn cancel_work(&mut self, call: id::Call) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        let stage = std::mem::replace(&mut state.stage, Stage::Backoff { until: now });
+        match stage {
+            Stage::Paying { ticket } => {
+                self.tickets.remove(&ticket);
+            }
+            Stage::Backoff { until } => {
+                self.timers.remove(&(until, call));
+            }
+            Stage::Forwarded { to, since, part } => {
+                // What the peer had is lost with it: the peer may have spent it.
+                state.budget.give_back(part, 0);
+                let pool = state.offer.pool.clone();
+                if let Some(picker) = self.pickers.get_mut(&pool) {
+                    picker.finished(now, &to, Kind::Cancelled, now.since(since));
+                }
+                self.act(Action::Abort { call });
+            }
+            Stage::Queued => self.leave_queue(call),
+            Stage::Running { since } => self.stop_run(call, since),
+        }
+    }
+
+    /// Ends a call of which nobody can use the answer any more.
+    pub(super) fn abandon(&mut self, call: id::Call, reason: Reason) {
+        let Some(state) = self.calls.get(&call) else { return };
+        let is_out = matches!(state.stage, Stage::Forwarded { .. } | Stage::Running { .. });
+        let refusal = if is_out { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        self.cancel_work(call);
+        self.give_up(call, refusal);
+    }
+}
+
+/// Tells whether a call failed only because it was sent to a node that is leaving or gone. It caused
+/// no work, so sending it elsewhere can't add to an overload.
+fn is_misrouted(refusal: &Refusal) -> bool {
+    refusal.outcome == Outcome::NotRun && matches!(refusal.reason, Reason::Broken | Reason::Leaving)
+}
+
+/// Classes a target's own answer. Only a failure of the server counts against it.
+pub(super) fn kind_of_status(status: u16) -> Kind {
+    const SERVER_ERROR: u16 = 500;
+    if status >= SERVER_ERROR { Kind::Failed } else { Kind::Ok }
+}
+
+/// Classes a refusal as the picker sees it: work that was declined in time is no failure.
+pub(super) fn kind_of_refusal(refusal: &Refusal) -> Kind {
+    match refusal.reason {
+        Reason::Broken | Reason::NoTarget => Kind::Broken,
+        Reason::Overload | Reason::Leaving => Kind::Shed,
+        Reason::Deadline if refusal.outcome == Outcome::Unknown => Kind::Failed,
+        _ => Kind::Cancelled,
+    }
+}
+
+fn merge(pools: &mut Vec<id::Pool>, more: &[id::Pool]) {
+    /// A chain reaches few pools; a longer list is not worth its bytes.
+    const MAX_POOLS: usize = 32;
+    for pool in more {
+        if pools.len() < MAX_POOLS && !pools.contains(pool) {
+            pools.push(pool.clone());
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/node/serve.rs
@@ -0,0 +1,181 @@
+//! The node's part in front of its own target: admission, runs and their ends.
+
+use {
+    super::{
+        Action, Node,
+        call::{Call, HOP_MARGIN, Origin, Stage},
+        dispatch::{kind_of_refusal, kind_of_status},
+        event::Ended,
+    },
+    crate::{
+        admission,
+        call::{Offer, Reason, Refusal},
+        id, retry,
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+impl Node {
+    /// Takes a call that a peer sends to this node's own target.
+    pub(super) fn offered(&mut self, call: id::Call, from: id::Vm, offer: Offer) {
+        self.counts.offered += 1;
+        let state = Call {
+            origin: Origin::Peer { vm: from },
+            deadline: self.now + offer.remaining,
+            budget: retry::Budget::new(offer.retries),
+            part: None,
+            stage: Stage::Queued,
+            attempts: 1,
+            reroutes: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            children: Vec::new(),
+            pools: Vec::new(),
+            offer,
+        };
+        self.begin(call, state);
+        if self.is_closed() {
+            return self.give_up(call, Refusal::not_run(Reason::Leaving));
+        }
+        self.admit(call);
+    }
+
+    /// Asks the gate for room on the node's own target.
+    pub(super) fn admit(&mut self, call: id::Call) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        state.stage = Stage::Queued;
+        let weight =
+            self.tables.as_ref().zip(state.offer.account.as_ref()).and_then(|(tables, account)| {
+                tables.accounts().get(account).map(|account| account.rate.0)
+            });
+        let ask = admission::Ask {
+            account: state.offer.account.clone(),
+            weight: u32::try_from(weight.unwrap_or(1)).unwrap_or(u32::MAX),
+            class: state.offer.class,
+            deadline: state.deadline,
+            depth: state.offer.depth,
+        };
+        let offered = self.gate.offer(now, call, &ask);
+        self.release(offered.releases);
+        match offered.decision {
+            admission::Decision::Run => self.run(call),
+            admission::Decision::Queued => {}
+            admission::Decision::Refused(refusal) => self.refused_here(call, refusal),
+        }
+    }
+
+    /// Carries out what the gate decided about queued calls.
+    pub(super) fn release(&mut self, released: Vec<admission::Release>) {
+        for release in released {
+            match release {
+                admission::Release::Run(call) => self.run(call),
+                admission::Release::Refuse(call, refusal) => self.refused_here(call, refusal),
+            }
+        }
+    }
+
+    fn refused_here(&mut self, call: id::Call, refusal: Refusal) {
+        self.finish_own(call, kind_of_refusal(&refusal), Duration::ZERO);
+        self.mark_tried(call, self.me.clone());
+        self.settle(call, refusal, false);
+    }
+
+    fn run(&mut self, call: id::Call) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else {
+            let released = self.gate.done(now, call, cancelled());
+            return self.release(released);
+        };
+        let Ok(context) = self.contexts.open(call, ()) else {
+            let released = self.gate.done(now, call, cancelled());
+            self.refused_here(call, Refusal::not_run(Reason::Overload));
+            return self.release(released);
+        };
+        state.stage = Stage::Running { since: now };
+        let remaining = state.remaining(now).saturating_sub(HOP_MARGIN);
+        let offer = Offer { remaining, ..state.offer.clone() };
+        self.act(Action::Run { call, context, offer });
+    }
+
+    /// Takes the end of a run on the node's own target.
+    pub(super) fn ended(&mut self, call: id::Call, ended: Ended) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        let Stage::Running { since } = state.stage else { return };
+        state.stage = Stage::Backoff { until: now };
+        self.contexts.close(call);
+        self.cancel_children(call);
+        let latency = now.since(since);
+        if let Ended::Answered { load: Some(load), .. } = ended {
+            self.gate.report(admission::Hint { load: f64::from(load) / 1000.0 });
+        }
+        let kind = admission::Ended { latency, kind: kind_of(ended) };
+        let released = self.gate.done(now, call, kind);
+        match ended {
+            Ended::Answered { status, .. } => {
+                self.finish_own(call, kind_of_status(status), latency);
+                self.answer(call);
+            }
+            Ended::Shed => self.failed_here(call, Refusal::not_run(Reason::Overload), latency),
+            Ended::Unreachable => {
+                self.failed_here(call, Refusal::not_run(Reason::NoTarget), latency);
+            }
+            Ended::Broken => self.failed_here(call, Refusal::unknown(Reason::Broken), latency),
+        }
+        self.release(released);
+    }
+
+    fn failed_here(&mut self, call: id::Call, refusal: Refusal, latency: Duration) {
+        self.finish_own(call, kind_of_refusal(&refusal), latency);
+        self.mark_tried(call, self.me.clone());
+        self.settle(call, refusal, false);
+    }
+
+    /// Tells the picker how a call that this node sent to its own target ended.
+    fn finish_own(&mut self, call: id::Call, kind: admission::Kind, latency: Duration) {
+        let Some(state) = self.calls.get(&call).filter(|state| state.is_upstream()) else { return };
+        if let Some(picker) = self.pickers.get_mut(&state.offer.pool) {
+            picker.finished(self.now, &self.me, kind, latency);
+        }
+    }
+
+    /// Takes a call out of the gate's queue.
+    pub(super) fn leave_queue(&mut self, call: id::Call) {
+        self.finish_own(call, admission::Kind::Cancelled, Duration::ZERO);
+        self.gate.cancel(self.now, call);
+    }
+
+    /// Stops a run on the node's own target.
+    pub(super) fn stop_run(&mut self, call: id::Call, since: Instant) {
+        let latency = self.now.since(since);
+        self.finish_own(call, admission::Kind::Cancelled, latency);
+        self.contexts.close(call);
+        self.cancel_children(call);
+        self.act(Action::Abort { call });
+        let kind = admission::Ended { latency, kind: admission::Kind::Cancelled };
+        let released = self.gate.done(self.now, call, kind);
+        self.release(released);
+    }
+
+    /// Ends the nested calls of a run that is over: nobody can use their answers.
+    fn cancel_children(&mut self, call: id::Call) {
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        for child in std::mem::take(&mut state.children) {
+            self.abandon(child, Reason::Cancelled);
+        }
+    }
+}
+
+fn cancelled() -> admission::Ended {
+    admission::Ended { latency: Duration::ZERO, kind: admission::Kind::Cancelled }
+}
+
+fn kind_of(ended: Ended) -> admission::Kind {
+    match ended {
+        Ended::Answered { status, .. } => kind_of_status(status),
+        Ended::Shed => admission::Kind::Shed,
+        Ended::Unreachable | Ended::Broken => admission::Kind::Broken,
+    }
+}
