--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -53,6 +53,9 @@
 /// The most changes that are kept for a driver that does not take them.
 const MAX_CHANGES: usize = 1_024;
 
+/// How often the claims of peers that can't be reached are dropped.
+const CLAIMS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What the driver has to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -111,6 +114,7 @@
     start: Start,
     watch: Watch,
     claims: Claims,
+    claims_checked_at: Instant,
     stage: Option<Stage>,
     fetch: Option<Fetch>,
     fetch_at: Instant,
@@ -167,6 +171,7 @@
             start: Start::default(),
             watch: Watch::default(),
             claims: Claims::default(),
+            claims_checked_at: Instant::ZERO,
             stage: None,
             fetch: None,
             fetch_at: Instant::ZERO,
@@ -187,8 +192,7 @@
         let is_first = self.started.is_none();
         self.started.get_or_insert(now);
         live.clone_into(&mut self.live);
-        let reachable: BTreeSet<id::Vm> = live.iter().map(|peer| peer.vm.clone()).collect();
-        self.claims.retain(now, &reachable);
+        self.drop_claims(now);
         if is_first {
             self.watch.spread = self.draw_spread();
         }
@@ -201,6 +205,15 @@
         std::mem::take(&mut self.out)
     }
 
+    fn drop_claims(&mut self, now: Instant) {
+        if now.since(self.claims_checked_at) < CLAIMS_INTERVAL {
+            return;
+        }
+        self.claims_checked_at = now;
+        let reachable: BTreeSet<&id::Vm> = self.live.iter().map(|peer| &peer.vm).collect();
+        self.claims.retain(now, &reachable);
+    }
+
     /// Takes the platform's answer to the last [`Action::Read`].
     pub fn published(
         &mut self,
--- a/lib/src/config/claim.rs
+++ b/lib/src/config/claim.rs
@@ -107,7 +107,7 @@
     }
 
     /// Drops the claims of peers that can't be reached, but not the memory of who is muted.
-    pub fn retain(&mut self, now: Instant, reachable: &BTreeSet<id::Vm>) {
+    pub fn retain(&mut self, now: Instant, reachable: &BTreeSet<&id::Vm>) {
         self.peers.retain(|vm, claim| {
             reachable.contains(vm) || claim.muted_until.is_some_and(|until| now < until)
         });
--- a/lib/src/config/watch.rs
+++ b/lib/src/config/watch.rs
@@ -24,7 +24,7 @@
 /// The longest wait after a failed read.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// The longest wait after a failed read of the list.
-const MAX_LIST_BACKOFF: Duration = Duration::from_secs(10);
+const MAX_LIST_BACKOFF: Duration = Duration::from_secs(5);
 /// How much longer than the watch's own time an answer may take.
 const GRACE: Duration = Duration::from_secs(5);
 
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -217,6 +217,30 @@
 
     pub fn pause(&mut self, node: usize, time: Duration) {
         self.nodes[node].paused_until = Some(self.now + time);
+        self.nodes[node].touched_at = self.now;
+    }
+
+    /// Puts each node on one side of a cut, which no message passes.
+    pub fn cut(&mut self, side_of: impl Fn(usize, &Node) -> u8) {
+        let now = self.now;
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.side = side_of(i, node);
+            node.touched_at = now;
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.cut(|_, _| 0);
+        self.network = GOOD;
+        self.platform.heal(self.now);
+        let now = self.now;
+        for node in &mut self.nodes {
+            node.has_platform = true;
+            if node.paused_until.is_some() {
+                node.paused_until = Some(now);
+            }
+        }
     }
 
     pub fn leave(&mut self, node: usize) {
--- a/lib/tests/fleet/platform.rs
+++ b/lib/tests/fleet/platform.rs
@@ -15,6 +15,8 @@
     pub is_down: bool,
     pub stale_at: Option<Revision>,
     pub limit: Option<u64>,
+    /// The last time at which a fault began or ended.
+    pub touched_at: Instant,
     /// Reads by second.
     pub reads: BTreeMap<u64, u64>,
     revision: Revision,
@@ -28,6 +30,7 @@
             is_down: false,
             stale_at: None,
             limit: None,
+            touched_at: Instant::ZERO,
             reads: BTreeMap::new(),
             revision: Revision(0),
             log: Vec::new(),
@@ -47,6 +50,18 @@
         revision
     }
 
+    /// Ends all faults.
+    pub fn heal(&mut self, now: Instant) {
+        self.is_down = false;
+        self.stale_at = None;
+        self.limit = None;
+        self.touched_at = now;
+    }
+
+    pub fn is_well(&self) -> bool {
+        !self.is_down && self.stale_at.is_none() && self.limit.is_none()
+    }
+
     pub fn revision(&self) -> Revision {
         self.revision
     }
