--- a/lib/src/config/fetch.rs
+++ b/lib/src/config/fetch.rs
@@ -73,7 +73,7 @@
         {
             let is_other = self.stage.as_ref().is_none_or(|stage| stage.of != Part::Accepted);
             if is_other {
-                self.stage = Some(Stage::accepted());
+                self.stage = Some(Stage::accepted(known));
             }
             self.fetch_from(now, peer);
         }
--- a/lib/src/config/key.rs
+++ b/lib/src/config/key.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         history::History,
+        stage::MAX_AHEAD,
         wire::{MAX_WITHDRAWALS, Withdrawal},
     },
     crate::{key::Digest, time::Instant, unit::Revision},
@@ -15,8 +16,6 @@
 
 /// The most withdrawals that are held on a peer's word.
 const MAX_RUMOURED: usize = 4_096;
-/// How far ahead of the known revision a withdrawal may claim to be.
-const MAX_AHEAD: u64 = 1_000_000;
 /// The table of keys.
 const SECTION: &str = "keys/";
 
--- a/lib/src/config/stage.rs
+++ b/lib/src/config/stage.rs
@@ -13,6 +13,10 @@
 /// The most bytes of values that a node puts together.
 const MAX_BYTES: usize = 64 << 20;
 
+/// How far a peer's revision may be ahead of what the node knows, which bounds the harm of a peer
+/// that makes revisions up.
+pub(super) const MAX_AHEAD: u64 = 1_000_000;
+
 /// A page that no correct peer sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum PageError {
@@ -25,6 +29,9 @@
     /// The values are too large or too many.
     #[error("the values are too large or too many")]
     Large,
+    /// The revision is so far ahead that the platform can't have got there.
+    #[error("the revision is more than {MAX_AHEAD} ahead")]
+    Ahead,
     /// The last page ends inside a value.
     #[error("the last page ends inside a value")]
     Unfinished,
@@ -44,6 +51,7 @@
     pub of: Part,
     pub base: Revision,
     pub from: Cursor,
+    known: Revision,
     is_whole: bool,
     entries: BTreeMap<Name, Entry>,
     partial: Option<Partial>,
@@ -53,24 +61,28 @@
 impl Stage {
     /// Starts the difference from `known` to a peer's latest values.
     pub fn difference(known: Revision) -> Self {
-        let from = Cursor { revision: Revision(known.0 + 1), ..Cursor::default() };
-        Self::new(Part::Latest, known, from, false)
+        let from = Cursor { revision: Revision(known.0.saturating_add(1)), ..Cursor::default() };
+        Self::new(Part::Latest, known, known, from, false)
     }
 
     /// Starts a peer's values in force, as a whole.
-    pub fn accepted() -> Self {
-        Self::new(Part::Accepted, Revision(0), Cursor::default(), true)
+    pub fn accepted(known: Revision) -> Self {
+        Self::new(Part::Accepted, known, Revision(0), Cursor::default(), true)
     }
 
-    fn new(of: Part, base: Revision, from: Cursor, is_whole: bool) -> Self {
+    fn new(of: Part, known: Revision, base: Revision, from: Cursor, is_whole: bool) -> Self {
         let entries = BTreeMap::new();
-        Self { of, base, from, is_whole, entries, partial: None, bytes: 0 }
+        Self { of, base, from, known, is_whole, entries, partial: None, bytes: 0 }
     }
 
     /// Takes a page in and returns the change when it is whole.
     pub fn take(&mut self, page: Page) -> Result<Option<Change>, PageError> {
+        let ahead = page.revision.0.saturating_sub(self.known.0);
+        if self.known > Revision(0) && ahead > MAX_AHEAD {
+            return Err(PageError::Ahead);
+        }
         if page.reset {
-            *self = Self::new(self.of, page.base, Cursor::default(), true);
+            *self = Self::new(self.of, self.known, page.base, Cursor::default(), true);
         }
         for piece in page.pieces {
             if piece.revision > page.revision {
--- a/lib/tests/config_faults.rs
+++ b/lib/tests/config_faults.rs
@@ -6,7 +6,7 @@
 
 use {
     fleet::{Fleet, Network, tables},
-    monsoon_lib::{time::Instant, unit::Revision},
+    monsoon_lib::{config, time::Instant, unit::Revision},
     proptest::{
         prelude::*,
         test_runner::{Config, RngSeed},
@@ -252,7 +252,10 @@
 }
 
 fn run(schedule: &Schedule) -> Checks {
-    let mut fleet = Fleet::new(schedule.nodes, schedule.data_centres, schedule.seed);
+    // Small pages make most exchanges take several.
+    let settings = config::Settings { page_bytes: 300, ..Default::default() };
+    let (nodes, data_centres) = (schedule.nodes, schedule.data_centres);
+    let mut fleet = Fleet::with(nodes, data_centres, schedule.seed, Default::default(), settings);
     let mut checks = Checks::default();
     fleet.platform.publish(&tables::first());
     fleet.network = Network {
@@ -286,7 +289,7 @@
     checks
 }
 
-fn config() -> Config {
+fn cases() -> Config {
     let number = |name: &str, or: u64| {
         std::env::var(name).map_or(or, |text| text.parse().expect("the variable is a number"))
     };
@@ -300,7 +303,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases())]
 
     #[test]
     fn fault_schedules(schedule in schedule()) {
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -249,6 +249,11 @@
         self.send_member(node, out);
     }
 
+    /// Hands a node a message that its sender never sent.
+    pub fn inject(&mut self, from: usize, to: usize, message: config::Message) {
+        self.deliver(from, to, Packet::Config(message));
+    }
+
     fn local(&self, node: usize) -> Instant {
         self.now + self.nodes[node].clock
     }
@@ -311,9 +316,15 @@
 
     fn check_revision(&mut self, node: usize) {
         let n = &mut self.nodes[node];
-        let revision = n.store.set().map_or(Revision(0), |set| set.revision());
+        let Some(set) = n.store.set() else { return };
+        let revision = set.revision();
         assert!(revision >= n.highest, "{} went from {} to {revision}", n.vm, n.highest);
+        if revision == n.highest {
+            return;
+        }
         n.highest = revision;
+        let published = self.platform.set_at(revision);
+        assert!(Some(&**set) == published, "{} has not all of {revision} in force", n.vm);
     }
 
     fn tick(&mut self, node: usize) {
--- a/lib/tests/fleet/platform.rs
+++ b/lib/tests/fleet/platform.rs
@@ -4,6 +4,7 @@
     monsoon_lib::{
         config::{Difference, Value},
         member,
+        table::{Builder, Set},
         time::Instant,
         unit::Revision,
     },
@@ -21,6 +22,7 @@
     pub reads: BTreeMap<u64, u64>,
     revision: Revision,
     log: Vec<Value>,
+    sets: BTreeMap<Revision, Option<Set>>,
 }
 
 impl Platform {
@@ -34,6 +36,7 @@
             reads: BTreeMap::new(),
             revision: Revision(0),
             log: Vec::new(),
+            sets: BTreeMap::new(),
         }
     }
 
@@ -86,11 +89,29 @@
         self.reads.values().sum()
     }
 
+    fn latest(&self, revision: Revision) -> BTreeMap<&str, &Value> {
+        let seen = self.log.iter().filter(|value| value.revision <= revision);
+        seen.map(|value| (value.name.as_str(), value)).collect()
+    }
+
+    /// Returns the set of tables that a revision makes, or none where it does not validate.
+    pub fn set_at(&mut self, revision: Revision) -> Option<&Set> {
+        if !self.sets.contains_key(&revision) {
+            let mut builder = Builder::new();
+            for (name, value) in self.latest(revision) {
+                if let Some(text) = &value.text {
+                    builder.add_value(name, text);
+                }
+            }
+            let set = builder.finish(revision).ok();
+            self.sets.insert(revision, set);
+        }
+        self.sets.get(&revision)?.as_ref()
+    }
+
     pub fn read(&self, after: Revision) -> Difference {
         let revision = self.visible();
-        let seen = self.log.iter().filter(|value| value.revision <= revision);
-        let latest: BTreeMap<&str, &Value> =
-            seen.map(|value| (value.name.as_str(), value)).collect();
+        let latest = self.latest(revision);
         let is_wanted = |value: &&&Value| {
             value.revision > after && (after > Revision(0) || value.text.is_some())
         };
