--- a/lib/src/config/watch.rs
+++ b/lib/src/config/watch.rs
@@ -25,6 +25,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// The longest wait after a failed read of the list.
 const MAX_LIST_BACKOFF: Duration = Duration::from_secs(5);
+/// How long a watch waits while the platform seems to be stale.
+const QUIET_WAIT: Duration = Duration::from_secs(1);
 /// How much longer than the watch's own time an answer may take.
 const GRACE: Duration = Duration::from_secs(5);
 
@@ -80,8 +82,10 @@
         }
         self.watch.is_watcher = self.is_watcher();
         if self.watch.is_watcher {
+            // While nothing confirms the values, short watches notice sooner that the platform is back.
+            let most = if self.is_quiet(now) { QUIET_WAIT } else { Duration::MAX };
             let wait = Duration::from_millis(self.settings.watch_wait_ms);
-            self.read(now, wait);
+            self.read(now, wait.min(most));
         } else if self.is_quiet(now) {
             self.watch.spread = self.draw_spread();
             self.read(now, Duration::ZERO);
--- a/lib/tests/config_faults.rs
+++ b/lib/tests/config_faults.rs
@@ -32,6 +32,7 @@
     Down,
     Stale { behind: u64 },
     Limit { reads: u64 },
+    Compact,
     Good,
     Rate { rate: u64 },
     Grant { key: u64 },
@@ -52,6 +53,7 @@
         Just(Fault::Down),
         (0..4u64).prop_map(|behind| Fault::Stale { behind }),
         (0..3u64).prop_map(|reads| Fault::Limit { reads }),
+        Just(Fault::Compact),
         Just(Fault::Good),
         (1..1_000u64).prop_map(|rate| Fault::Rate { rate }),
         (0..10u64).prop_map(|key| Fault::Grant { key }),
@@ -219,6 +221,7 @@
             fleet.platform.limit = Some(reads);
             fleet.platform.touched_at = fleet.now;
         }
+        Fault::Compact => fleet.platform.kept_after = fleet.platform.revision(),
         Fault::Good => {
             fleet.platform.heal(fleet.now);
             fleet.nodes.iter_mut().for_each(|node| node.has_platform = true);
--- a/lib/tests/config_keys.rs
+++ b/lib/tests/config_keys.rs
@@ -114,6 +114,36 @@
     assert!(admits(&fleet, 4, 5));
 }
 
+#[test]
+fn slow_catch_up() {
+    let settings = Settings { page_bytes: 100, ..Settings::default() };
+    let mut fleet = settled(6, settings);
+    fleet.platform.publish(&[tables::no_key(3), tables::key(20, "acme"), tables::key(21, "acme")]);
+    fleet.run(5 * SECOND);
+    fleet.platform.stale_at = Some(Revision(1));
+    fleet.network.delay_ms = (250, 300);
+    fleet.start(4);
+    for _ in 0..1_000 {
+        fleet.run(Duration::from_millis(20));
+        assert!(!admits(&fleet, 4, 3), "a node admits keys before it has caught up");
+    }
+    assert!(admits(&fleet, 4, 5));
+}
+
+#[test]
+fn stale_platform() {
+    let settings = Settings { max_key_age_ms: 60_000, ..Settings::default() };
+    let mut fleet = settled(6, settings);
+    fleet.platform.publish(&[tables::no_key(3)]);
+    fleet.run(5 * SECOND);
+    fleet.platform.stale_at = Some(Revision(1));
+    fleet.run(70 * SECOND);
+    assert_eq!(admitting(&fleet, 5), 0, "a stale answer counts as a confirmation");
+    fleet.platform.stale_at = None;
+    fleet.run(5 * SECOND);
+    assert_eq!(admitting(&fleet, 5), 6);
+}
+
 #[test]
 fn lone_node() {
     let mut fleet = Fleet::new(1, 1, 1);
--- a/lib/tests/fleet/platform.rs
+++ b/lib/tests/fleet/platform.rs
@@ -16,6 +16,8 @@
     pub is_down: bool,
     pub stale_at: Option<Revision>,
     pub limit: Option<u64>,
+    /// Differences from before this revision are no longer given.
+    pub kept_after: Revision,
     /// The last time at which a fault began or ended.
     pub touched_at: Instant,
     /// Reads by second.
@@ -32,6 +34,7 @@
             is_down: false,
             stale_at: None,
             limit: None,
+            kept_after: Revision(0),
             touched_at: Instant::ZERO,
             reads: BTreeMap::new(),
             revision: Revision(0),
@@ -112,10 +115,12 @@
     pub fn read(&self, after: Revision) -> Difference {
         let revision = self.visible();
         let latest = self.latest(revision);
+        let reset = after < self.kept_after;
+        let is_whole = reset || after == Revision(0);
         let is_wanted = |value: &&&Value| {
-            value.revision > after && (after > Revision(0) || value.text.is_some())
+            if is_whole { value.text.is_some() } else { value.revision > after }
         };
         let values = latest.values().filter(is_wanted).map(|value| (*value).clone()).collect();
-        Difference { revision, reset: false, values }
+        Difference { revision, reset, values }
     }
 }
