bench: experiments over real processes, latency and a demo

An experiment is a YAML file with a deployment, load, faults and a seed; it prints a table and writes results and a plot. Goodput uses one table of harm weights. Requests that the rates cover are counted by a reference bucket for each account; what callers got beyond it can't make up for another account.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,2 +1,48 @@
-//! Placeholder.
-fn main() {}
+//! Experiments on fleets of real nodes and on the model in virtual time.
+//!
+//! Each experiment has a seed and prints a table; see docs/operate/bench.md.
+
+mod commands;
+mod experiment;
+mod fault;
+mod harm;
+mod outcome;
+mod plot;
+mod probe;
+mod run;
+mod text;
+
+use {argh::FromArgs, std::process::ExitCode};
+
+/// Experiments on fleets of real nodes and on the model in virtual time.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Compare(commands::compare::Compare),
+    Demo(commands::demo::Demo),
+    Latency(commands::latency::Latency),
+    Run(commands::run::Run),
+}
+
+fn main() -> ExitCode {
+    let Arguments { command } = argh::from_env();
+    let result = match command {
+        Command::Compare(compare) => compare.run(),
+        Command::Demo(demo) => demo.run(),
+        Command::Latency(latency) => latency.run(),
+        Command::Run(run) => run.run(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("monsoon-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
