once: at most one run for each idempotency key

A caller that resends a booking must not get it twice, although nodes restart without memory and nothing outside them can be written. Each key has one owner among the published VMs of its pool; a runner starts a request only with a fresh ticket of that owner under an epoch that a majority vouches for. Owner and runner are never on one VM, so each can give back what the other forgot.

Two nodes lost at the same time still cost their keys 520 s.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod member;
 pub mod node;
+pub mod once;
 pub mod pressure;
 pub mod rate;
 pub mod retry;
--- /dev/null
+++ b/lib/tests/once_key/main.rs
@@ -0,0 +1,6 @@
+//! At most one run for each idempotency key, checked on several nodes in virtual time.
+
+mod cost;
+mod faults;
+mod loss;
+mod world;
