--- a/lib/src/rate.rs
+++ b/lib/src/rate.rs
@@ -16,6 +16,7 @@
 mod lender;
 mod message;
 mod meter;
+mod receive;
 mod settings;
 mod standing;
 
@@ -24,7 +25,7 @@
     asks::Ticket,
     bucket::Bucket,
     dump::{Dump, Line, Loan as HeldLoan},
-    message::{Ask, Knowledge, Loan, Message, Query, Reply, Standing, Want},
+    message::{Ask, Knowledge, Loan, Message, Query, Recall, Receipt, Reply, Standing, Want},
     settings::{Guards, Settings},
 };
 
@@ -38,7 +39,7 @@
     asks::Asks,
     lender::Context,
     message::Sequence,
-    split::{Digest, Share, Split},
+    split::{Share, Split},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
@@ -79,8 +80,6 @@
 
 /// The most accounts that are remembered after the tables dropped them.
 const MAX_GONE: usize = 1_024;
-/// The most minters that one request asks for a token.
-const MAX_TRIES: usize = 6;
 
 /// All accounts at one node.
 #[derive(Debug)]
@@ -166,7 +165,7 @@
         }
         let Some(account) = self.accounts.get_mut(name) else { return };
         account.sold = sold;
-        account.standing.replace(split, self.revision, nonce);
+        account.standing.replace(now, split, self.revision, nonce);
         account.sort(name, &self.me, &self.view);
         self.refresh(now, name);
     }
@@ -186,189 +185,35 @@
         else {
             return Verdict::Refused { retry_after: Duration::from_secs(1) };
         };
-        state.demand.count();
+        state.demand.count(now);
         if state.take(context) {
             return Verdict::Granted;
         }
         let retry_after = state.retry_after();
-        let is_open = now >= state.denied_until && self.asks.count(account) < self.settings.asks;
-        let asked = state.to_ask(now, &[]).filter(|_| is_open);
+        let is_open = state.is_worth_asking(now, self.asks.count(account));
+        let first = state.to_ask(now, None);
+        let is_patient = first.is_none();
+        let asked = first.or_else(|| state.to_wait_for(self.tickets + 1)).filter(|_| is_open);
+        let recalled = if is_open { state.lender.recall(now, true) } else { Vec::new() };
+        for vm in recalled {
+            self.outbox.push((vm, Message::Recall(Recall { account: account.clone() })));
+        }
         let Some(asked) = asked else { return Verdict::Refused { retry_after } };
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
-        self.ask(now, ticket, account.clone(), asked, 0);
+        let until = now + self.settings.ask_term();
+        let account = account.clone();
+        self.ask(asks::Ask { ticket, account, asked, tries: 0, is_patient, until });
         Verdict::Asked(ticket)
     }
 
-    fn ask(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        account: id::Account,
-        asked: id::Vm,
-        tries: usize,
-    ) {
+    fn ask(&mut self, ask: asks::Ask) {
         self.sequence += 1;
         let nonce = self.sequence;
-        let message = Message::Ask(Ask { account: account.clone(), nonce });
-        self.outbox.push((asked.clone(), message));
-        let until = now + self.settings.ask_term();
-        self.asks.insert(nonce, asks::Ask { ticket, account, asked, tries, until });
-    }
-
-    /// Takes in a message from another node's given life.
-    pub fn receive(
-        &mut self,
-        now: Instant,
-        from: &id::Vm,
-        incarnation: id::Incarnation,
-        message: &Message,
-    ) {
-        match message {
-            Message::Want(want) => self.receive_want(now, from, incarnation, want),
-            Message::Loan(loan) => self.receive_loan(now, from, incarnation, loan),
-            Message::Ask(ask) => self.receive_ask(now, from, incarnation, ask),
-            Message::Reply(reply) => self.receive_reply(now, from, reply),
-            Message::Query(query) => self.receive_query(now, from, incarnation, query),
-            Message::Standing(standing) => self.receive_standing(now, from, standing),
-        }
-    }
-
-    fn receive_want(
-        &mut self,
-        now: Instant,
-        from: &id::Vm,
-        incarnation: id::Incarnation,
-        want: &Want,
-    ) {
-        let is_mine = want.lender == self.incarnation;
-        if let Some(state) = self.accounts.get_mut(&want.account) {
-            state.lender.want(now, from, incarnation, is_mine, want);
-        }
-    }
-
-    fn receive_loan(
-        &mut self,
-        now: Instant,
-        from: &id::Vm,
-        incarnation: id::Incarnation,
-        loan: &Loan,
-    ) {
-        let is_mine = loan.borrower == self.incarnation || !self.guards.has_dedup;
-        let guards = self.guards;
-        let state = self.accounts.get_mut(&loan.account).filter(|_| is_mine);
-        let Some(state) = state else { return };
-        let most = state.standing.current().share(from);
-        let Some(held) = state.held.get_mut(from) else { return };
-        if loan.share.is_within(most) && loan.tokens <= most.cap {
-            let longest = self.settings.term_ms;
-            let loan = Loan { term_ms: loan.term_ms.min(longest), ..loan.clone() };
-            held.accept(now, incarnation, &loan, guards);
-        }
-    }
-
-    fn receive_ask(
-        &mut self,
-        now: Instant,
-        from: &id::Vm,
-        incarnation: id::Incarnation,
-        ask: &Ask,
-    ) {
-        self.refresh(now, &ask.account);
-        let Some(state) = self.accounts.get_mut(&ask.account) else { return };
-        state.asked.count();
-        let context =
-            Context { account: &ask.account, now, settings: &self.settings, guards: self.guards };
-        let is_given = state.lender.give(context);
-        let reply =
-            Reply { account: ask.account.clone(), asker: incarnation, nonce: ask.nonce, is_given };
-        self.outbox.push((from.clone(), Message::Reply(reply)));
-    }
-
-    fn receive_reply(&mut self, now: Instant, from: &id::Vm, reply: &Reply) {
-        if reply.asker != self.incarnation && self.guards.has_dedup {
-            return;
-        }
-        let Some(ask) = self.asks.answered(reply.nonce, from) else { return };
-        let is_late = now >= ask.until && self.guards.has_expiry;
-        if reply.is_given && !is_late {
-            self.answers.push(Answer { ticket: ask.ticket, verdict: Verdict::Granted });
-            return;
-        }
-        self.set_dry(now, &ask, Duration::from_millis(self.settings.dry_ms));
-        self.retry(now, ask);
-    }
-
-    fn set_dry(&mut self, now: Instant, ask: &asks::Ask, time: Duration) {
-        let Some(state) = self.accounts.get_mut(&ask.account) else { return };
-        let held = state.held.entry(ask.asked.clone());
-        let held = held.or_insert_with(|| borrower::Held::new(now));
-        held.dry_until = now + time;
-    }
-
-    /// Asks the next minter, or refuses.
-    fn retry(&mut self, now: Instant, ask: asks::Ask) {
-        let Some(state) = self.accounts.get_mut(&ask.account) else { return };
-        let context =
-            Context { account: &ask.account, now, settings: &self.settings, guards: self.guards };
-        if state.sold.is_some() && state.take(context) {
-            self.answers.push(Answer { ticket: ask.ticket, verdict: Verdict::Granted });
-            return;
-        }
-        let next = state.to_ask(now, &[&ask.asked]);
-        let next = next.filter(|_| state.sold.is_some() && ask.tries + 1 < MAX_TRIES);
-        if let Some(next) = next {
-            self.ask(now, ask.ticket, ask.account, next, ask.tries + 1);
-            return;
-        }
-        state.denied_until = now + state.retry_after().min(Duration::from_millis(20));
-        let verdict = Verdict::Refused { retry_after: state.retry_after() };
-        self.answers.push(Answer { ticket: ask.ticket, verdict });
-    }
-
-    fn receive_query(
-        &mut self,
-        now: Instant,
-        from: &id::Vm,
-        incarnation: id::Incarnation,
-        query: &Query,
-    ) {
-        self.refresh(now, &query.account);
-        let is_waiting = self.is_waiting(now);
-        let (digest, knowledge) = match self.accounts.get(&query.account) {
-            Some(state) => {
-                let split = state.standing.current();
-                let committed = state.lender.committed();
-                // Loans made under an earlier split must end before this node keeps to the new one.
-                if !committed.is_within(split.share(&self.me)) {
-                    return;
-                }
-                (split.digest, state.standing.knowledge())
-            }
-            None => (Digest::ABSENT, Knowledge::Fresh),
-        };
-        if is_waiting || self.started.is_none() {
-            return;
-        }
-        let standing = Standing {
-            account: query.account.clone(),
-            asker: incarnation,
-            nonce: query.nonce,
-            revision: self.revision,
-            digest,
-            knowledge,
-        };
-        self.outbox.push((from.clone(), Message::Standing(standing)));
-    }
-
-    fn receive_standing(&mut self, now: Instant, from: &id::Vm, standing: &Standing) {
-        if standing.asker != self.incarnation {
-            return;
-        }
-        let Some(state) = self.accounts.get_mut(&standing.account) else { return };
-        let Standing { nonce, revision, digest, knowledge, .. } = *standing;
-        state.standing.confirm(from, nonce, revision, digest, knowledge);
-        self.refresh(now, &standing.account);
+        let account = ask.account.clone();
+        let message = Message::Ask(Ask { account, nonce, is_patient: ask.is_patient });
+        self.outbox.push((ask.asked.clone(), message));
+        self.asks.insert(nonce, ask);
     }
 
     /// Tells whether loans of this node's earlier life may still be in use.
@@ -388,10 +233,14 @@
             state.standing.presume();
         }
         if !is_waiting {
-            state.standing.settle_alone();
+            state.standing.settle_if_agreed(now, &self.settings);
         }
         let allowed = if is_waiting { Share::NONE } else { state.standing.allowed() };
-        state.lender.refresh(now, allowed);
+        let until = match self.guards.has_retirement {
+            true => state.standing.until(&self.settings),
+            false => Instant::from_nanos(u64::MAX),
+        };
+        state.lender.refresh(now, allowed, until);
     }
 
     /// Ends what has ended, divides and borrows anew, and returns what is to be sent. A driver calls
@@ -405,8 +254,10 @@
         let mut messages = std::mem::take(&mut self.outbox);
         for name in names {
             self.refresh(now, &name);
+            self.serve(now, &name);
             self.tick_account(now, &name, &mut messages);
         }
+        messages.append(&mut self.outbox);
         messages
     }
 
@@ -424,9 +275,8 @@
         let loans = state.lender.tick(context, demand, &mut self.sequence);
         messages.extend(loans.into_iter().map(|(vm, loan)| (vm, Message::Loan(loan))));
         messages.extend(state.plan(context, &mut self.sequence));
-        if state.standing.is_curious() && now >= state.standing.next_query {
-            state.standing.next_query = now + Duration::from_millis(self.settings.query_ms);
-            for vm in state.standing.missing() {
+        if state.standing.is_query_due(now, &self.settings, self.sequence + 1) {
+            for vm in state.standing.others() {
                 self.sequence += 1;
                 let query = Query { account: name.clone(), nonce: self.sequence };
                 messages.push((vm, Message::Query(query)));
--- a/lib/src/rate/account.rs
+++ b/lib/src/rate/account.rs
@@ -6,6 +6,7 @@
         lender::{Context, Lender},
         message::{Message, Sequence},
         meter::Meter,
+        settings::Settings,
         split::{self, Share, Split},
         standing::Standing,
     },
@@ -40,12 +41,17 @@
     pub demand: Meter,
     /// The asks that arrive here.
     pub asked: Meter,
-    /// No token is to be had elsewhere until then.
-    pub denied_until: Instant,
+    denied_until: Instant,
+    denials: u32,
+    /// How many asks may be under way.
+    window: usize,
     next_widening: Instant,
     ample_since: Option<Instant>,
 }
 
+/// How many asks may be under way until the first denial.
+const FIRST_WINDOW: usize = 16;
+
 /// What an account has bought.
 #[derive(Clone, Copy, Debug)]
 pub struct Sold {
@@ -64,6 +70,13 @@
     pub absent: BTreeSet<id::Vm>,
 }
 
+/// Returns the level in millionths of the cap, and at least one where there is any.
+fn fullness(level: Tokens, share: Share) -> u128 {
+    const MILLION: u128 = 1_000_000;
+    let part = u128::from(level.0) * MILLION / u128::from(share.cap.0.max(1));
+    part.max(u128::from(level.0.min(1)))
+}
+
 impl Account {
     /// Makes the state of an account of which nothing is known.
     pub fn new(
@@ -75,14 +88,16 @@
     ) -> Self {
         Self {
             sold: None,
-            standing: Standing::new(me.clone(), split, revision, nonce),
+            standing: Standing::new(now, me.clone(), split, revision, nonce),
             lender: Lender::new(now),
             held: BTreeMap::new(),
             order: Vec::new(),
             width: 0,
-            demand: Meter::new(now),
-            asked: Meter::new(now),
+            demand: Meter::slow(now),
+            asked: Meter::quick(now),
             denied_until: Instant::ZERO,
+            denials: 0,
+            window: FIRST_WINDOW,
             next_widening: Instant::ZERO,
             ample_since: None,
         }
@@ -115,13 +130,23 @@
             return false;
         }
         let mut open = Tokens::ONE;
-        for held in self.held.values_mut() {
-            open = open.saturating_sub(held.take(open));
+        while open > Tokens::ZERO {
+            open = open.saturating_sub(self.take_fullest(now, open));
         }
-        self.lender.take(now, open);
         true
     }
 
+    /// Takes from the bucket that is nearest to its cap, since a full one mints in vain.
+    fn take_fullest(&mut self, now: Instant, open: Tokens) -> Tokens {
+        let own = fullness(self.lender.level(), self.lender.own());
+        let held = self.held.values_mut();
+        let fullest = held.max_by_key(|held| fullness(held.level(), held.share(now)));
+        match fullest.filter(|held| fullness(held.level(), held.share(now)) > own) {
+            Some(held) => held.take(open),
+            None => self.lender.take(now, open),
+        }
+    }
+
     /// Returns the tokens at hand.
     pub fn level(&self) -> Tokens {
         let held = self.held.values().map(Held::level);
@@ -136,14 +161,70 @@
     }
 
     /// Returns the minter to ask for a token now, unless all were dry lately.
-    pub fn to_ask(&self, now: Instant, not: &[&id::Vm]) -> Option<id::Vm> {
+    pub fn to_ask(&self, now: Instant, not: Option<&id::Vm>) -> Option<id::Vm> {
         let is_open = |vm: &&id::Vm| {
             let is_dry = self.held.get(*vm).is_some_and(|held| now < held.dry_until);
-            !is_dry && !not.contains(vm)
+            !is_dry && Some(*vm) != not
         };
         self.order.iter().find(is_open).cloned()
     }
 
+    /// Tells whether one more ask beside those under way is worth while.
+    pub fn is_worth_asking(&self, now: Instant, under_way: usize) -> bool {
+        now >= self.denied_until && under_way < self.window
+    }
+
+    /// Notes that nobody had a token: fewer asks at once, and a pause once it is one at a time.
+    pub fn deny(&mut self, now: Instant) {
+        const SHORTEST_MS: u64 = 10;
+        const MOST_DOUBLINGS: u32 = 4;
+        self.window = (self.window / 2).max(1);
+        if self.window == 1 && now >= self.denied_until {
+            self.denied_until = now + Duration::from_millis(SHORTEST_MS << self.denials);
+            self.denials = (self.denials + 1).min(MOST_DOUBLINGS);
+        }
+    }
+
+    /// Notes that an ask was answered with a token.
+    pub fn allow(&mut self, settings: &Settings) {
+        const PLENTY: usize = 4;
+        self.window = (self.window + 1).min(settings.asks);
+        if self.window >= PLENTY {
+            self.denials = 0;
+        }
+    }
+
+    /// Returns the minter to ask where all were dry lately. Different tickets go to different ones.
+    pub fn to_wait_for(&self, ticket: u64) -> Option<id::Vm> {
+        let count = self.order.len().max(1) as u64;
+        let index = usize::try_from(ticket % count).unwrap_or(0);
+        self.order.get(index).cloned()
+    }
+
+    /// Hands back what is not needed here of one lender's loan.
+    pub fn recall(
+        &mut self,
+        context: Context<'_>,
+        lender: &id::Vm,
+        nonce: &mut Sequence,
+    ) -> Option<Message> {
+        let Context { account, now, guards, .. } = context;
+        if self.demand.is_silent(now) {
+            self.demand.reset(now);
+            self.width = 0;
+        }
+        let is_idle = self.demand.demand() == Tokens::ZERO;
+        let held = self.held.get_mut(lender)?;
+        held.fill(now, guards);
+        let want = if is_idle {
+            *nonce += 1;
+            held.give_up(now, account, *nonce)
+        } else {
+            held.recall(now, account)
+        };
+        want.map(Message::Want)
+    }
+
     /// Borrows more or less, so that what is at hand fits the demand.
     pub fn plan(&mut self, context: Context<'_>, nonce: &mut Sequence) -> Vec<(id::Vm, Message)> {
         let demand = self.demand.demand();
@@ -157,10 +238,13 @@
         self.request(context, deficit, nonce)
     }
 
-    /// Tells whether the part of the burst that goes with the demand is less than one token.
+    /// Tells whether the part of the burst that goes with the demand is too small to ride out the
+    /// unevenness of arrivals, so that single tokens serve better than a loan.
     fn is_ask_cheaper(&self, demand: Tokens) -> bool {
+        const LEAST_LENT: u64 = 6;
         let Some(sold) = self.sold else { return true };
-        demand.0.saturating_mul(sold.burst.into()) < Tokens::whole(sold.rate.0).0
+        let part = u128::from(demand.0) * u128::from(sold.burst);
+        part < u128::from(Tokens::whole(LEAST_LENT).0) * u128::from(sold.rate.0)
     }
 
     fn adapt(&mut self, now: Instant, demand: Tokens, own: Share) {
@@ -204,6 +288,8 @@
                 *nonce += 1;
                 let want = held.want(now, account, *nonce, told);
                 wants.push((vm.clone(), Message::Want(want)));
+            } else if let Some(want) = held.acknowledge(now, account) {
+                wants.push((vm.clone(), Message::Want(want)));
             }
         }
         for (vm, held) in &mut self.held {
--- a/lib/src/rate/asks.rs
+++ b/lib/src/rate/asks.rs
@@ -27,6 +27,8 @@
     pub asked: id::Vm,
     /// How many have been asked before.
     pub tries: usize,
+    /// Whether the answer may wait.
+    pub is_patient: bool,
     /// When an answer is too late.
     pub until: Instant,
 }
--- a/lib/src/rate/dump.rs
+++ b/lib/src/rate/dump.rs
@@ -85,7 +85,7 @@
             split: account.standing.current().as_ref().clone(),
             knowledge: account.standing.knowledge(),
             splits: account.standing.digests(),
-            missing: account.standing.missing().into_iter().collect(),
+            missing: account.standing.missing(),
             allowed: account.lender.allowed(),
             committed: account.lender.committed(),
             own: account.lender.level(),
--- a/lib/src/rate/lender.rs
+++ b/lib/src/rate/lender.rs
@@ -8,12 +8,15 @@
 use {
     super::{
         bucket::Bucket,
-        message::{Loan, Sequence, Want},
+        message::{Ask, Loan, Sequence, Want},
         settings::{Guards, Settings},
         split::Share,
     },
     crate::{id, time::Instant, unit::Tokens},
-    std::collections::{BTreeMap, VecDeque},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
 };
 
 /// The most versions of one loan that may be in use at once.
@@ -28,7 +31,8 @@
     until: Instant,
 }
 
-type Key = (id::Vm, id::Incarnation);
+/// One life of one node.
+pub type Key = (id::Vm, id::Incarnation);
 
 #[derive(Debug)]
 struct Borrower {
@@ -65,12 +69,12 @@
 
     /// Ends the versions that the borrower no longer uses.
     fn acknowledge(&mut self, want: &Want) {
-        let is_last = self.versions.back().is_some_and(|last| last.sequence == want.seen);
-        if is_last && want.demand == Tokens::ZERO {
-            self.versions.clear();
-        } else if self.versions.iter().any(|version| version.sequence == want.seen) {
-            self.versions.retain(|version| version.sequence >= want.seen);
-        }
+        let last = self.versions.back().map(|last| last.sequence);
+        let seen = self.versions.iter_mut().find(|version| version.sequence == want.seen);
+        let Some(seen) = seen else { return };
+        seen.share = seen.share.min(want.keep.unwrap_or(seen.share));
+        let is_over = seen.share == Share::NONE && last == Some(want.seen);
+        self.versions.retain(|version| version.sequence >= want.seen && !is_over);
     }
 
     /// Returns when a version made now ends. One that answers no request lengthens nothing.
@@ -94,8 +98,29 @@
     }
 }
 
+/// An ask that waits for tokens that borrowers may hand back.
+#[derive(Debug)]
+struct Pending {
+    asker: Key,
+    nonce: Sequence,
+    until: Instant,
+}
+
+/// The answer to an ask.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Who asked.
+    pub asker: Key,
+    /// The ask.
+    pub nonce: Sequence,
+    /// Whether a token was given.
+    pub is_given: bool,
+}
+
 #[derive(Debug)]
 struct Lien {
+    asker: Key,
+    nonce: Sequence,
     until: Instant,
     tokens: Tokens,
 }
@@ -104,9 +129,12 @@
 #[derive(Debug)]
 pub struct Lender {
     own: Bucket,
+    until: Instant,
     allowed: Share,
     borrowers: BTreeMap<Key, Borrower>,
     liens: VecDeque<Lien>,
+    pending: VecDeque<Pending>,
+    next_recall: Instant,
 }
 
 impl Lender {
@@ -114,9 +142,12 @@
     pub fn new(now: Instant) -> Self {
         Self {
             own: Bucket::new(now, Share::NONE),
+            until: Instant::ZERO,
             allowed: Share::NONE,
             borrowers: BTreeMap::new(),
             liens: VecDeque::new(),
+            pending: VecDeque::new(),
+            next_recall: Instant::ZERO,
         }
     }
 
@@ -137,9 +168,13 @@
         self.own.share()
     }
 
-    /// Adds what was minted to the own bucket.
+    /// Adds what was minted to the own bucket, and stops where this node may mint no more.
     pub fn fill(&mut self, now: Instant) {
-        self.own.fill(now);
+        if now < self.until {
+            self.own.fill(now);
+        } else {
+            self.own.set_share(now, Share::NONE);
+        }
     }
 
     /// Returns the tokens in the own bucket.
@@ -152,14 +187,17 @@
         self.borrowers.values().filter(|borrower| !borrower.versions.is_empty()).count()
     }
 
-    /// Tells whether nothing is left that would be missed.
-    pub fn is_idle(&self) -> bool {
-        self.borrowers.is_empty() && self.liens.is_empty() && self.allowed == Share::NONE
+    /// Tells whether the VM has told its demand, which then includes its asks.
+    pub fn is_borrower(&self, vm: &id::Vm, incarnation: id::Incarnation) -> bool {
+        let borrower = self.borrowers.get(&(vm.clone(), incarnation));
+        borrower.is_some_and(|borrower| borrower.demand > Tokens::ZERO)
     }
 
-    /// Ends what has ended and sets the share to be divided from now on.
-    pub fn refresh(&mut self, now: Instant, allowed: Share) {
-        self.own.fill(now);
+    /// Ends what has ended and sets the share to be divided from now on, until a time.
+    pub fn refresh(&mut self, now: Instant, allowed: Share, until: Instant) {
+        self.fill(now);
+        self.until = until;
+        let allowed = if now < until { allowed } else { Share::NONE };
         self.allowed = allowed;
         self.borrowers.retain(|_, borrower| {
             borrower.versions.retain(|version| version.until > now);
@@ -173,21 +211,67 @@
     }
 
     fn resize(&mut self, now: Instant) {
+        self.fill(now);
         let own = self.allowed.minus(self.committed());
         self.own.set_share(now, own);
     }
 
     /// Takes at most the given tokens from the own bucket.
     pub fn take(&mut self, now: Instant, tokens: Tokens) -> Tokens {
-        self.own.fill(now);
+        self.fill(now);
         self.own.take(tokens)
     }
 
+    /// Queues an ask. [`Lender::serve`] answers it.
+    pub fn ask(&mut self, now: Instant, asker: Key, ask: &Ask) {
+        const LONGEST_WAIT: Duration = Duration::from_millis(150);
+        const MAX_PENDING: usize = 256;
+        let mut lent = self.borrowers.iter().filter(|(_, b)| !b.versions.is_empty());
+        let is_lent = lent.any(|(key, _)| *key != asker);
+        let may_wait = ask.is_patient && is_lent && self.pending.len() < MAX_PENDING;
+        let until = if may_wait { now + LONGEST_WAIT } else { now };
+        self.pending.push_back(Pending { asker, nonce: ask.nonce, until });
+    }
+
+    /// Answers the asks that can be answered, in their order.
+    pub fn serve(&mut self, context: Context<'_>) -> Vec<Outcome> {
+        let mut outcomes = Vec::new();
+        for pending in std::mem::take(&mut self.pending) {
+            let is_given = self.give(context, pending.asker.clone(), pending.nonce);
+            if is_given || context.now >= pending.until {
+                let Pending { asker, nonce, .. } = pending;
+                outcomes.push(Outcome { asker, nonce, is_given });
+            } else {
+                self.pending.push_back(pending);
+            }
+        }
+        outcomes
+    }
+
+    /// Returns the borrowers to recall from, where asks wait or this node itself has no token.
+    pub fn recall(&mut self, now: Instant, is_needed_here: bool) -> Vec<id::Vm> {
+        const PAUSE: Duration = Duration::from_millis(20);
+        const MOST: usize = 8;
+        let is_needed = is_needed_here || !self.pending.is_empty();
+        if !is_needed || now < self.next_recall {
+            return Vec::new();
+        }
+        self.next_recall = now + PAUSE;
+        let asking = |vm: &id::Vm| self.pending.iter().any(|pending| pending.asker.0 == *vm);
+        let lent = self
+            .borrowers
+            .iter()
+            .filter(|(key, borrower)| borrower.committed().cap >= Tokens::ONE && !asking(&key.0));
+        let mut lent: Vec<_> = lent.map(|(key, b)| (b.committed().cap, &key.0)).collect();
+        lent.sort_by_key(|(cap, _)| std::cmp::Reverse(*cap));
+        lent.into_iter().take(MOST).map(|(_, vm)| vm.clone()).collect()
+    }
+
     /// Gives one token to another node that must use it within the ask's term.
-    pub fn give(&mut self, context: Context<'_>) -> bool {
+    fn give(&mut self, context: Context<'_>, asker: Key, nonce: Sequence) -> bool {
         const MAX_LIENS: usize = 65_536;
         let Context { now, settings, guards, .. } = context;
-        self.own.fill(now);
+        self.fill(now);
         if self.own.level() < Tokens::ONE || self.liens.len() >= MAX_LIENS {
             return false;
         }
@@ -196,11 +280,28 @@
         }
         self.own.take(Tokens::ONE);
         let until = now + settings.widen(settings.ask_term());
-        self.liens.push_back(Lien { until, tokens: Tokens::ONE });
+        self.liens.push_back(Lien { asker, nonce, until, tokens: Tokens::ONE });
         self.resize(now);
         true
     }
 
+    /// Returns when the own bucket holds a whole token, in milliseconds.
+    pub fn wait_ms(&self) -> u32 {
+        const MILLIS_PER_SECOND: u64 = 1_000;
+        let open = Tokens::ONE.saturating_sub(self.own.level()).0;
+        let wait = open.saturating_mul(MILLIS_PER_SECOND) / self.own.share().rate.0.max(1);
+        u32::try_from(wait).unwrap_or(u32::MAX)
+    }
+
+    /// Ends the wait for a token that its asker has used or dropped.
+    pub fn release(&mut self, now: Instant, asker: &Key, nonce: Sequence) {
+        let is_open = |lien: &Lien| lien.nonce == nonce && lien.asker == *asker;
+        if let Some(index) = self.liens.iter().position(is_open) {
+            self.liens.remove(index);
+            self.resize(now);
+        }
+    }
+
     /// Takes in a borrower's request. The answer comes with the next [`Lender::tick`].
     ///
     /// `is_mine` tells whether the request speaks of a loan of this life of the lender.
@@ -271,11 +372,7 @@
         let demands = self.borrowers.values().map(|borrower| borrower.demand.0);
         let sum = demands.fold(own_demand.0, u64::saturating_add);
         let whole = sum.saturating_add(sum.saturating_mul(RESERVE_PERCENT) / 100);
-        let target = |borrower: &Borrower| {
-            let target = self.allowed.scale(borrower.demand.0, whole);
-            // A fraction of a token serves no request: such a borrower asks instead.
-            if target.cap < Tokens::ONE { Share::NONE } else { target }
-        };
+        let target = |borrower: &Borrower| self.allowed.scale(borrower.demand.0, whole);
         self.borrowers.iter().map(|(key, b)| (key.clone(), target(b))).collect()
     }
 
@@ -313,7 +410,7 @@
 
     /// Moves the tokens that belong to a grown cap out of the own bucket.
     fn deduct(&mut self, context: Context<'_>, grown: Tokens) -> Tokens {
-        self.own.fill(context.now);
+        self.fill(context.now);
         let cap = self.own.share().cap.0.max(1);
         let part = u128::from(self.own.level().0) * u128::from(grown.0.min(cap)) / u128::from(cap);
         let part = Tokens(u64::try_from(part).unwrap_or(0));
--- a/lib/src/rate/message.rs
+++ b/lib/src/rate/message.rs
@@ -20,7 +20,8 @@
 pub struct Want {
     /// The account.
     pub account: id::Account,
-    /// Numbers the request. The answer repeats it.
+    /// Numbers the request, which the answer repeats. Zero asks for no answer and only tells what
+    /// was seen.
     pub nonce: Sequence,
     /// Requests a second that the borrower would like to grant from this minter's share.
     pub demand: Tokens,
@@ -28,7 +29,9 @@
     pub lender: id::Incarnation,
     /// The last version of the loan that the borrower holds, or zero.
     pub seen: Sequence,
-    /// Tokens handed back by a borrower that gives up the loan. Only with a demand of zero.
+    /// What the borrower keeps of that version, where that is less than was lent.
+    pub keep: Option<Share>,
+    /// Tokens that go back to the lender.
     pub returned: Tokens,
 }
 
@@ -58,6 +61,8 @@
     pub account: id::Account,
     /// Numbers the request. The answer repeats it.
     pub nonce: Sequence,
+    /// Whether the answer may wait until borrowers have handed tokens back.
+    pub is_patient: bool,
 }
 
 /// The answer to [`Ask`].
@@ -71,6 +76,26 @@
     pub nonce: Sequence,
     /// Whether the token was given.
     pub is_given: bool,
+    /// Where none was given, when the next one will have been minted, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// The asker has used or dropped the token that it was given, so that it is under way no more.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Receipt {
+    /// The account.
+    pub account: id::Account,
+    /// The life of the giver that gave the token.
+    pub giver: id::Incarnation,
+    /// The request that was answered.
+    pub nonce: Sequence,
+}
+
+/// A lender's request that a borrower hands back what it does not need.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Recall {
+    /// The account.
+    pub account: id::Account,
 }
 
 /// A minter's question whether another VM keeps to a split.
@@ -95,6 +120,8 @@
     pub revision: Revision,
     /// The split that the sender keeps within.
     pub digest: Digest,
+    /// How long the sender has kept within it, in milliseconds.
+    pub age_ms: u64,
     /// What the sender knows of others that may keep to an earlier split.
     pub knowledge: Knowledge,
 }
@@ -122,6 +149,10 @@
     Ask(Ask),
     /// Answers an ask.
     Reply(Reply),
+    /// Ends what an ask began.
+    Receipt(Receipt),
+    /// Asks a borrower for what it does not need.
+    Recall(Recall),
     /// Asks which split a VM keeps to.
     Query(Query),
     /// Answers a query.
--- a/lib/src/rate/meter.rs
+++ b/lib/src/rate/meter.rs
@@ -8,24 +8,36 @@
     count: u64,
     per_second: f64,
     read_at: Instant,
+    last_at: Instant,
+    least_weight: f64,
 }
 
 /// About as many requests are averaged over, unless the time limits say otherwise.
 const WINDOW_REQUESTS: f64 = 32.0;
-const LEAST_WEIGHT: f64 = 0.04;
+/// The weight of the newest tenth of a second where there are few requests.
+const SLOW_WEIGHT: f64 = 0.04;
+const QUICK_WEIGHT: f64 = 0.15;
 const MOST_WEIGHT: f64 = 0.5;
+/// The demand has ended once so many requests were to be expected and none came.
+const OVER_REQUESTS: f64 = 8.0;
 /// A demand below one request in this many seconds counts as none.
 const IDLE_SECONDS: f64 = 20.0;
 
 impl Meter {
-    /// Starts with no demand.
-    pub fn new(now: Instant) -> Self {
-        Self { count: 0, per_second: 0.0, read_at: now }
+    /// Starts with no demand, and keeps small numbers long in mind.
+    pub fn slow(now: Instant) -> Self {
+        Self { count: 0, per_second: 0.0, read_at: now, last_at: now, least_weight: SLOW_WEIGHT }
+    }
+
+    /// Starts with no demand, and forgets small numbers within a second.
+    pub fn quick(now: Instant) -> Self {
+        Self { least_weight: QUICK_WEIGHT, ..Self::slow(now) }
     }
 
     /// Counts one request.
-    pub fn count(&mut self) {
+    pub fn count(&mut self, now: Instant) {
         self.count += 1;
+        self.last_at = now;
     }
 
     /// Closes the interval since the last call.
@@ -39,15 +51,34 @@
         let seen = count + self.per_second * seconds;
         // A pause of the process says nothing about the demand before it.
         let scale = seconds.min(LONGEST_SECONDS) / 0.1;
-        let weight = (seen / WINDOW_REQUESTS).max(LEAST_WEIGHT * scale).clamp(0.0, MOST_WEIGHT);
+        let weight =
+            (seen / WINDOW_REQUESTS).max(self.least_weight * scale).clamp(0.0, MOST_WEIGHT);
         self.per_second += (count / seconds - self.per_second) * weight;
-        if self.per_second * IDLE_SECONDS < 1.0 {
+        let is_over = self.missed(now) >= OVER_REQUESTS;
+        if is_over || self.per_second * IDLE_SECONDS < 1.0 {
             self.per_second = 0.0;
         }
         self.count = 0;
         self.read_at = now;
     }
 
+    /// Tells whether at least three requests were to be expected since the last one.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        const EXPECTED: f64 = 3.0;
+        self.missed(now) >= EXPECTED
+    }
+
+    /// Returns how many requests were to be expected since the last one.
+    fn missed(&self, now: Instant) -> f64 {
+        self.per_second * now.since(self.last_at).as_secs_f64()
+    }
+
+    /// Forgets the demand.
+    pub fn reset(&mut self, now: Instant) {
+        self.per_second = 0.0;
+        self.read_at = now;
+    }
+
     /// Returns the demand as tokens a second.
     pub fn demand(&self) -> Tokens {
         Tokens((self.per_second * Tokens::ONE.0 as f64) as u64)
--- a/lib/src/rate/settings.rs
+++ b/lib/src/rate/settings.rs
@@ -23,12 +23,15 @@
     pub least_cap: u32,
     /// The most asks of one account that may be under way from one node.
     pub asks: usize,
-    /// How long a minter that had no token is not asked again, in milliseconds.
+    /// The longest time for which a minter that had no token is not asked again, in milliseconds.
     pub dry_ms: u64,
     /// The longest pause between two requests for the same loan, in milliseconds.
     pub renew_ms: u64,
     /// The pause between two rounds of queries while a split changes, in milliseconds.
     pub query_ms: u64,
+    /// How long a minter goes on minting without word from most minters of its split, in
+    /// milliseconds. The share of a dead VM that the tables dropped is won back after this time.
+    pub retire_ms: u64,
 }
 
 impl Default for Settings {
@@ -42,6 +45,7 @@
             dry_ms: 100,
             renew_ms: 900,
             query_ms: 300,
+            retire_ms: 3_600_000,
         }
     }
 }
@@ -57,6 +61,17 @@
         Duration::from_millis(self.ask_ms)
     }
 
+    /// Returns how long a minter mints without word from most others.
+    pub fn retirement(&self) -> Duration {
+        Duration::from_millis(self.retire_ms)
+    }
+
+    /// Returns the time after which a minter without word from most others has surely stopped, with
+    /// all that it lent.
+    pub fn silence(&self) -> Duration {
+        self.widen(self.retirement() + self.term() + self.ask_term())
+    }
+
     /// Returns how long the giver of a promise counts a term that the taker counts as `term`.
     pub fn widen(&self, term: Duration) -> Duration {
         const MILLION: u128 = 1_000_000;
@@ -80,6 +95,8 @@
     pub has_transition: bool,
     /// A loan or an answer is void after its term, however late the node wakes up.
     pub has_expiry: bool,
+    /// A minter stops without word from most others.
+    pub has_retirement: bool,
     /// Tokens and caps leave the lender before the message does.
     pub has_deduction: bool,
 }
@@ -92,6 +109,7 @@
             has_dedup: true,
             has_transition: true,
             has_expiry: true,
+            has_retirement: true,
             has_deduction: true,
         }
     }
--- a/lib/src/rate/standing.rs
+++ b/lib/src/rate/standing.rs
@@ -7,12 +7,14 @@
 use {
     super::{
         message::{Knowledge, Sequence},
+        settings::Settings,
         split::{Digest, Share, Split},
     },
     crate::{id, time::Instant, unit::Revision},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -21,6 +23,36 @@
 /// The most splits that a VM keeps which is a minter in none of them.
 const IDLE_HISTORY: usize = 4;
 
+/// Returns how many of a number are most of them.
+fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// What another node has said of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Word {
+    /// The question that it answers.
+    pub nonce: Sequence,
+    /// The revision of its tables.
+    pub revision: Revision,
+    /// The split that it keeps within.
+    pub digest: Digest,
+    /// How long it has done so.
+    pub age: Duration,
+    /// What it knows of others.
+    pub knowledge: Knowledge,
+}
+
+/// When a round of queries was sent, and its first number.
+#[derive(Debug)]
+struct Round {
+    nonce: Sequence,
+    at: Instant,
+}
+
+/// The most rounds of queries whose answers count.
+const MAX_ROUNDS: usize = 8;
+
 /// What a node knows of one account's splits.
 #[derive(Debug)]
 pub struct Standing {
@@ -29,21 +61,33 @@
     knowledge: Knowledge,
     arrived: Revision,
     first_nonce: Sequence,
-    confirmed: BTreeMap<id::Vm, Knowledge>,
+    since: Instant,
+    confirmed: BTreeMap<id::Vm, Word>,
+    asked: VecDeque<Round>,
+    heard: BTreeMap<id::Vm, Instant>,
     /// When the next round of queries is due.
     pub next_query: Instant,
 }
 
 impl Standing {
     /// Starts with one split and no knowledge of others.
-    pub fn new(me: id::Vm, split: Arc<Split>, revision: Revision, nonce: Sequence) -> Self {
+    pub fn new(
+        now: Instant,
+        me: id::Vm,
+        split: Arc<Split>,
+        revision: Revision,
+        nonce: Sequence,
+    ) -> Self {
         Self {
             me,
             history: vec![split],
             knowledge: Knowledge::Fresh,
             arrived: revision,
             first_nonce: nonce,
+            since: now,
             confirmed: BTreeMap::new(),
+            asked: VecDeque::new(),
+            heard: BTreeMap::new(),
             next_query: Instant::ZERO,
         }
     }
@@ -59,13 +103,20 @@
     }
 
     /// Replaces the split by that of newer tables.
-    pub fn replace(&mut self, split: Arc<Split>, revision: Revision, nonce: Sequence) {
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        split: Arc<Split>,
+        revision: Revision,
+        nonce: Sequence,
+    ) {
         if split.digest == self.current().digest {
             return;
         }
         self.history.push(split);
         self.arrived = revision;
         self.first_nonce = nonce;
+        self.since = now;
         self.confirmed.clear();
         self.next_query = Instant::ZERO;
         if self.knowledge == Knowledge::Settled {
@@ -98,53 +149,107 @@
         self.knowledge != Knowledge::Settled && is_minter
     }
 
-    /// Returns the VMs whose word is missing.
-    pub fn missing(&self) -> BTreeSet<id::Vm> {
-        let all = self.others();
-        let is_open = |vm: &id::Vm| match self.confirmed.get(vm) {
-            None => true,
-            Some(_) => self.knowledge == Knowledge::Fresh,
-        };
-        all.into_iter().filter(is_open).collect()
+    /// Returns how long this node has kept within the current split.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.since(self.since)
+    }
+
+    /// Tells whether it is time to query the others, and when it will be again.
+    pub fn is_query_due(&mut self, now: Instant, settings: &Settings, nonce: Sequence) -> bool {
+        const ROUNDS: u32 = 4;
+        let is_minter = self.history.iter().any(|split| split.minters.contains_key(&self.me));
+        if !is_minter || now < self.next_query {
+            return false;
+        }
+        let is_content = !self.is_curious() && self.until(settings) > now;
+        let slow = settings.retirement() / ROUNDS;
+        let pause = Duration::from_millis(settings.query_ms);
+        self.next_query = now + if is_content { slow } else { pause };
+        if self.asked.len() >= MAX_ROUNDS {
+            self.asked.pop_front();
+        }
+        self.asked.push_back(Round { nonce, at: now });
+        true
     }
 
-    fn others(&self) -> BTreeSet<id::Vm> {
+    /// Returns the other minters of the splits that may be kept to.
+    pub fn others(&self) -> BTreeSet<id::Vm> {
         let minters = self.history.iter().flat_map(|split| split.minters.keys());
         minters.filter(|vm| **vm != self.me).cloned().collect()
     }
 
+    /// Returns the VMs whose word is missing.
+    pub fn missing(&self) -> Vec<id::Vm> {
+        let is_open = |vm: &id::Vm| !self.confirmed.contains_key(vm);
+        self.others().into_iter().filter(is_open).collect()
+    }
+
     /// Takes in another node's word.
-    pub fn confirm(
-        &mut self,
-        from: &id::Vm,
-        nonce: Sequence,
-        revision: Revision,
-        digest: Digest,
-        knowledge: Knowledge,
-    ) {
-        let is_current = digest == self.current().digest && revision >= self.arrived;
-        if !is_current || nonce < self.first_nonce || !self.others().contains(from) {
+    pub fn confirm(&mut self, now: Instant, settings: &Settings, from: &id::Vm, word: Word) {
+        let is_current = word.digest == self.current().digest && word.revision >= self.arrived;
+        if !is_current || word.nonce < self.first_nonce || !self.others().contains(from) {
             return;
         }
-        self.confirmed.insert(from.clone(), knowledge);
-        let is_adopted = self.knowledge == Knowledge::Fresh && knowledge == Knowledge::Settled;
-        if is_adopted || self.is_agreed() {
+        let round = self.asked.iter().rev().find(|round| round.nonce <= word.nonce);
+        if let Some(round) = round {
+            let heard = self.heard.entry(from.clone()).or_insert(round.at);
+            *heard = round.at.max(*heard);
+        }
+        let is_adopted = self.knowledge == Knowledge::Fresh && word.knowledge == Knowledge::Settled;
+        self.confirmed.insert(from.clone(), word);
+        if is_adopted {
             self.settle();
+        } else {
+            self.settle_if_agreed(now, settings);
         }
     }
 
-    /// Settles a split that no other node mints for.
-    pub fn settle_alone(&mut self) {
-        if self.is_curious() && self.is_agreed() {
+    /// Settles the current split once every other minter keeps within it or has surely stopped.
+    pub fn settle_if_agreed(&mut self, now: Instant, settings: &Settings) {
+        if self.is_curious() && self.is_agreed(now, settings) {
             self.settle();
         }
     }
 
-    fn is_agreed(&self) -> bool {
-        let others = self.others();
-        let is_all = others.iter().all(|vm| self.confirmed.contains_key(vm));
-        let is_fresh = self.confirmed.values().all(|word| *word == Knowledge::Fresh);
-        is_all && (self.knowledge != Knowledge::Fresh || is_fresh)
+    fn is_agreed(&self, now: Instant, settings: &Settings) -> bool {
+        let is_sure =
+            |vm: &id::Vm| self.confirmed.contains_key(vm) || self.is_retired(now, settings, vm);
+        let is_fresh = self.confirmed.values().all(|word| word.knowledge == Knowledge::Fresh);
+        let is_informed = self.knowledge != Knowledge::Fresh;
+        self.others().iter().all(is_sure) && (is_informed || is_fresh)
+    }
+
+    /// Tells whether a silent minter cannot have had word from most others for so long that it has
+    /// stopped. Enough others must have kept within the current split for all of that time.
+    fn is_retired(&self, now: Instant, settings: &Settings, vm: &id::Vm) -> bool {
+        let silence = settings.silence();
+        let is_old = |other: &&id::Vm| {
+            let age = match self.confirmed.get(*other) {
+                _ if **other == self.me => Some(self.age(now)),
+                word => word.map(|word| word.age),
+            };
+            *other != vm && age.is_some_and(|age| age >= silence)
+        };
+        let splits = self.history.iter().filter(|split| split.minters.contains_key(vm));
+        splits.into_iter().all(|split| {
+            let count = split.minters.len();
+            split.minters.keys().filter(is_old).count() > count - majority(count)
+        })
+    }
+
+    /// Returns until when this node may mint on the word that it has from others.
+    pub fn until(&self, settings: &Settings) -> Instant {
+        let splits = self.history.iter().filter(|split| split.minters.contains_key(&self.me));
+        let until = splits.map(|split| {
+            let mut heard: Vec<_> =
+                split.minters.keys().filter_map(|vm| self.heard.get(vm)).copied().collect();
+            heard.sort_unstable_by(|a, b| b.cmp(a));
+            match majority(split.minters.len()) {
+                1 => Instant::from_nanos(u64::MAX),
+                most => heard.get(most - 2).map_or(Instant::ZERO, |at| *at + settings.retirement()),
+            }
+        });
+        until.min().unwrap_or(Instant::ZERO)
     }
 
     fn settle(&mut self) {
--- /dev/null
+++ b/lib/tests/rate_accuracy.rs
@@ -0,0 +1,163 @@
+//! An account within its rate is refused nothing, wherever its requests arrive.
+
+mod rate_fleet;
+
+use {
+    monsoon_lib::rate::{Guards, Settings},
+    rate_fleet::{Entry, Event, Fleet, SECOND, Tables},
+};
+
+fn fleet(seed: u64, count: usize, accounts: &[(&'static str, u64, u32)]) -> Fleet {
+    let tables =
+        Tables { accounts: accounts.to_vec(), vms: (0..count).collect(), shares: String::new() };
+    Fleet::new(seed, count, 3, 200, Settings::default(), Guards::default(), &[tables])
+}
+
+/// Sends an account's requests evenly at a percentage of its rate.
+fn load(fleet: &mut Fleet, name: &'static str, percent: u64, from: u64, until: u64, node: Entry) {
+    let tables = &fleet.tables[0].0.accounts;
+    let rate = tables.iter().find(|line| line.0 == name).expect("the account is sold").1;
+    let every = SECOND * 100 / (rate * percent);
+    fleet.at(from, Event::Arrive { account: name, node, every, until });
+}
+
+fn refused(fleet: &Fleet, name: &str, from: u64, until: u64) -> usize {
+    let refused = &fleet.counts[name].refused_at;
+    refused.iter().filter(|at| (from..until).contains(*at)).count()
+}
+
+const SIZES: [(&str, u64, u32); 4] =
+    [("large", 2_000, 400), ("mid", 200, 50), ("small", 20, 20), ("tiny", 1, 2)];
+
+/// Runs each size of account at several seeds and counts what is refused between two times.
+fn trial(name: &str, from: u64, until: u64, plan: impl Fn(&mut Fleet, &'static str)) {
+    let mut worst = (0, "", 0);
+    for line in SIZES {
+        for seed in 0..SEEDS {
+            let mut fleet = fleet(seed, 13, &[line]);
+            plan(&mut fleet, line.0);
+            fleet.run(until);
+            let refused = refused(&fleet, line.0, from, until);
+            let count = &fleet.counts[line.0];
+            let bytes = fleet.bytes * SECOND / until / fleet.nodes.len() as u64;
+            println!(
+                "{name}, {}, seed {seed}: {refused} of {} refused, {} waited, {bytes} B/s a node",
+                line.0, count.asked, count.waited
+            );
+            worst = worst.max((refused, line.0, seed));
+            assert!(fleet.violations.is_empty(), "{:?}", fleet.violations.first());
+        }
+    }
+    assert_eq!(worst.0, 0, "{name}: refused, of account, at seed: {worst:?}");
+}
+
+const SEEDS: u64 = 5;
+const START: u64 = 4 * SECOND;
+const STEADY: u64 = 8 * SECOND;
+const END: u64 = 40 * SECOND;
+
+#[test]
+fn one_vm() {
+    trial("one VM", STEADY, END, |fleet, name| load(fleet, name, 95, START, END, Entry::One(4)));
+}
+
+#[test]
+fn all_vms() {
+    trial("all VMs", STEADY, END, |fleet, name| load(fleet, name, 95, START, END, Entry::All));
+}
+
+#[test]
+fn one_data_centre() {
+    let nodes = [0, 3, 6, 9, 12];
+    trial("one data centre", STEADY, END, |fleet, name| {
+        load(fleet, name, 95, START, END, Entry::Some(nodes.to_vec()));
+    });
+}
+
+/// The entry moves from one data centre to the next every four seconds.
+#[test]
+fn wandering() {
+    trial("wandering", STEADY, END, |fleet, name| {
+        for (index, from) in (4..40).step_by(4).enumerate() {
+            let until = (from + 4) * SECOND - 1;
+            load(fleet, name, 95, from * SECOND, until, Entry::One((4 + 7 * index) % 13));
+        }
+    });
+}
+
+/// The entry changes once, from one data centre to another; from one second on all is granted.
+#[test]
+fn entry_change() {
+    const CHANGE: u64 = 20 * SECOND;
+    trial("entry change", CHANGE + SECOND, END, |fleet, name| {
+        load(fleet, name, 95, START, CHANGE, Entry::One(4));
+        load(fleet, name, 95, CHANGE + 1, END, Entry::One(12));
+    });
+}
+
+/// An account at ten times its rate gets its rate, and another account loses nothing by it.
+#[test]
+fn tenfold() {
+    let lines = [("greedy", 200, 50), ("quiet", 200, 50)];
+    let mut fleet = fleet(5, 13, &lines);
+    load(&mut fleet, "greedy", 1_000, START, END, Entry::All);
+    load(&mut fleet, "quiet", 95, START, END, Entry::All);
+    fleet.run(END);
+    assert!(fleet.violations.is_empty());
+    assert_eq!(refused(&fleet, "quiet", STEADY, END), 0);
+    let seconds = (END - STEADY) / SECOND;
+    let granted = fleet.counts["greedy"].granted_at.iter().filter(|(at, _)| *at > STEADY).count();
+    let bytes = fleet.bytes * SECOND / END / 13;
+    println!("tenfold: {granted} granted of {} sold, {bytes} B/s a node", 200 * seconds);
+    // All of the rate but the part that covers drifting clocks and single tokens under way.
+    assert!(granted as u64 >= 200 * seconds * 97 / 100, "{granted} in {seconds} s");
+}
+
+/// Each data centre goes on with at least its published share while it is cut off.
+#[test]
+fn partition() {
+    const CUT: u64 = 12 * SECOND;
+    const SETTLED: u64 = 3 * SECOND;
+    let mut fleet = fleet(5, 12, &[("mid", 300, 60)]);
+    load(&mut fleet, "mid", 285, START, END, Entry::All);
+    let groups = (0..12).map(|vm| (vm % 3) as u8).collect();
+    fleet.at(CUT, Event::Cut { groups, time: 10 * SECOND });
+    fleet.run(CUT + 10 * SECOND);
+    assert!(fleet.violations.is_empty());
+    for data_centre in 0..3 {
+        let granted = fleet.counts["mid"].granted_at.iter();
+        let granted = granted.filter(|(at, vm)| *at > CUT + SETTLED && vm % 3 == data_centre);
+        let (granted, sold) = (granted.count(), 7 * 100);
+        println!("partition, data centre {data_centre}: {granted} of {sold}");
+        assert!(granted * 100 >= sold * 97, "data centre {data_centre}: {granted} of {sold}");
+    }
+}
+
+/// One token a second finds the one VM of 780 where the request arrives.
+#[test]
+fn many_vms() {
+    const VMS: usize = 780;
+    let lines = [("tiny", 1, 2), ("large", 20_000, 2_000)];
+    let tables =
+        Tables { accounts: lines.to_vec(), vms: (0..VMS).collect(), shares: String::new() };
+    let settings = Settings::default();
+    let mut fleet = Fleet::new(3, VMS, 7, 200, settings, Guards::default(), &[tables]);
+    const UNTIL: u64 = 16 * SECOND;
+    fleet.bandwidth_from = STEADY;
+    load(&mut fleet, "tiny", 95, START, UNTIL, Entry::All);
+    load(&mut fleet, "large", 95, START, UNTIL, Entry::All);
+    fleet.run(UNTIL);
+    assert!(fleet.violations.is_empty());
+    let seconds = (UNTIL - STEADY) / SECOND;
+    let mean = fleet.bytes / seconds / VMS as u64;
+    let most = fleet.sent_bytes.iter().max().expect("some node sent") / seconds;
+    let count = &fleet.counts["large"];
+    println!(
+        "780 VMs: {} of {} waited, {mean} B/s a node, {most} B/s at the busiest",
+        count.waited, count.asked
+    );
+    assert_eq!(refused(&fleet, "tiny", STEADY, UNTIL), 0);
+    assert_eq!(refused(&fleet, "large", STEADY, UNTIL), 0);
+    // The part of the control budget of 4 KB/s that is set aside for rates.
+    assert!(mean <= 1_500, "{mean} B/s a node");
+}
--- a/lib/tests/rate_fleet/mod.rs
+++ b/lib/tests/rate_fleet/mod.rs
@@ -105,7 +105,7 @@
 pub struct Node {
     vm: id::Vm,
     data_centre: id::DataCentre,
-    ppm: i64,
+    pub ppm: i64,
     origin: u64,
     life: u64,
     pub ledger: Ledger,
--- a/lib/tests/rate_safety.rs
+++ b/lib/tests/rate_safety.rs
@@ -22,6 +22,7 @@
 enum Fault {
     Pause { node: usize, time: u64 },
     Restart { node: usize },
+    Stop { node: usize },
     Cut { groups: Vec<u8>, time: u64 },
     Absent { node: usize, absent: Vec<usize> },
 }
@@ -39,12 +40,14 @@
     entries: Vec<(usize, bool)>,
     faults: Vec<(u64, Fault)>,
     changes: Vec<(u64, Tables)>,
+    retire_ms: u64,
 }
 
 fn fault(nodes: usize) -> impl Strategy<Value = Fault> {
     prop_oneof![
         (0..nodes, 100..9_000u64).prop_map(|(node, ms)| Fault::Pause { node, time: ms * MS }),
         (0..nodes).prop_map(|node| Fault::Restart { node }),
+        (0..nodes).prop_map(|node| Fault::Stop { node }),
         (prop::collection::vec(0..2u8, nodes), 200..9_000u64)
             .prop_map(|(groups, ms)| Fault::Cut { groups, time: ms * MS }),
         (0..nodes, prop::collection::vec(0..nodes, 0..4))
@@ -80,8 +83,11 @@
         let faults = prop::collection::vec((0..20_000u64, fault(nodes)), 0..8);
         let changes = prop::collection::vec((3_000..16_000u64, tables(nodes)), 0..3);
         let accounts = prop::collection::vec(sold(), NAMES.len());
-        (any::<u64>(), 1..=3usize, network, accounts, entries, faults, changes).prop_map(
-            move |(seed, data_centres, network, accounts, entries, faults, changes)| {
+        let retire_ms = select(vec![1_500, 3_600_000]);
+        let numbers = (any::<u64>(), 1..=3usize, retire_ms);
+        (numbers, network, accounts, entries, faults, changes).prop_map(
+            move |(numbers, network, accounts, entries, faults, changes)| {
+                let (seed, data_centres, retire_ms) = numbers;
                 let (loss, duplicates, lateness, late) = network;
                 let late = late * MS;
                 let data_centres = data_centres.min(nodes);
@@ -97,6 +103,7 @@
                     entries,
                     faults,
                     changes,
+                    retire_ms,
                 }
             },
         )
@@ -112,7 +119,7 @@
     let mut changes = case.changes.clone();
     changes.sort_by_key(|change| change.0);
     all.extend(changes.iter().map(|change| change.1.clone()));
-    let settings = Settings::default();
+    let settings = Settings { retire_ms: case.retire_ms, ..Settings::default() };
     let mut fleet =
         Fleet::new(case.seed, case.nodes, case.data_centres, 200, settings, guards, &all);
     fleet.network = Network {
@@ -129,6 +136,7 @@
         let event = match fault.clone() {
             Fault::Pause { node, time } => Event::Pause { node, time },
             Fault::Restart { node } => Event::Restart { node },
+            Fault::Stop { node } => Event::Stop { node },
             Fault::Cut { groups, time } => Event::Cut { groups, time },
             Fault::Absent { node, absent } => Event::Observe { node, absent },
         };
@@ -210,6 +218,76 @@
     assert_caught("expiry", Guards { has_expiry: false, ..Guards::default() });
 }
 
+/// A minter is cut off, the tables drop it, and the others win its share back.
+fn retired_minter(guards: Guards) -> Fleet {
+    const NODES: usize = 6;
+    const LOST: usize = 1;
+    let accounts = vec![("amber", 100, 40)];
+    let all: Vec<usize> = (0..NODES).collect();
+    let rest: Vec<usize> = all.iter().copied().filter(|vm| *vm != LOST).collect();
+    let tables = [all.clone(), rest.clone()].map(|vms| Tables {
+        accounts: accounts.clone(),
+        vms,
+        shares: String::new(),
+    });
+    let settings = Settings { retire_ms: 2_000, ..Settings::default() };
+    let mut fleet = Fleet::new(3, NODES, 3, 200, settings, guards, &tables);
+    let every = SECOND / 150;
+    for node in [Entry::One(LOST), Entry::Some(rest)] {
+        fleet.at(MS, Event::Arrive { account: "amber", node, every, until: 2 * LENGTH });
+    }
+    let groups = all.iter().map(|vm| u8::from(*vm == LOST)).collect();
+    fleet.at(5 * SECOND, Event::Cut { groups, time: 2 * LENGTH });
+    for node in all.into_iter().filter(|vm| *vm != LOST) {
+        fleet.at(6 * SECOND, Event::Configure { node, revision: 1 });
+    }
+    fleet.run(LENGTH);
+    fleet
+}
+
+#[test]
+fn retired_share() {
+    let fleet = retired_minter(Guards::default());
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations.first());
+    // The share is won back: nine tenths of the rate is granted although a minter is gone.
+    let late = fleet.counts["amber"].granted_at.iter().filter(|(at, _)| *at > LENGTH - 5 * SECOND);
+    let granted = late.count();
+    assert!(granted >= 450, "only {granted} of 500 granted in the last 5 s");
+}
+
+#[test]
+fn no_retirement() {
+    let fleet = retired_minter(Guards { has_retirement: false, ..Guards::default() });
+    println!("without retirement: {} violations", fleet.violations.len());
+    assert!(!fleet.violations.is_empty());
+}
+
+/// All clocks are 200 ppm fast for half a minute.
+fn fast_clocks(guards: Guards) -> Fleet {
+    let accounts = vec![("amber", 2_000, 4)];
+    let tables = Tables { accounts, vms: vec![0, 1, 2], shares: String::new() };
+    let mut fleet = Fleet::new(3, 3, 3, 0, Settings::default(), guards, &[tables]);
+    for node in &mut fleet.nodes {
+        node.ppm = 200;
+    }
+    let until = 36 * SECOND;
+    for vm in 0..3 {
+        let every = SECOND / 3_000;
+        let node = Entry::One(vm);
+        fleet.at(4 * SECOND, Event::Arrive { account: "amber", node, every, until });
+    }
+    fleet.run(until);
+    fleet
+}
+
+#[test]
+fn no_margin() {
+    assert!(fast_clocks(Guards::default()).violations.is_empty());
+    let fleet = fast_clocks(Guards { has_margin: false, ..Guards::default() });
+    println!("without margin: {} violations", fleet.violations.len());
+    assert!(!fleet.violations.is_empty());
+}
+
 #[test]
 fn no_deduction() {
     assert_caught("deduction", Guards { has_deduction: false, ..Guards::default() });
