--- /dev/null
+++ b/daemon/tests/forged_context.rs
@@ -0,0 +1,90 @@
+//! Nobody gets in with a call context that was not issued for a call in flight at this node.
+
+use {
+    monsoon_lib::call::Reason,
+    monsoon_testutils::{
+        client::{Client, Request, Verdict},
+        fleet::{self, Fleet, POLL},
+        raw,
+        target::Faults,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+async fn nested(egress: SocketAddr, fields: &str) -> String {
+    let text =
+        format!("GET /notices/forged HTTP/1.1\r\nHost: a\r\nConnection: close\r\n{fields}\r\n");
+    let answer = raw::exchange(egress, text.as_bytes(), PATIENCE).await;
+    String::from_utf8_lossy(&answer.expect("the node accepts connections")).into_owned()
+}
+
+fn assert_refused(answer: &str) {
+    assert!(answer.contains(&format!("\"{}\"", Reason::Context)), "{answer}");
+    assert!(answer.contains("\"not-run\""), "{answer}");
+}
+
+fn context(fleet: &Fleet, vm: &str) -> Option<String> {
+    fleet.vm(vm).target.runs().last()?.context.clone()
+}
+
+#[actix_web::test]
+async fn foreign_and_stale() {
+    let fleet = Fleet::start(fleet::small(1)).await.expect("the fleet starts");
+    for vm in fleet.vms() {
+        vm.target.set_faults(Faults { delay_ms: 1_000, ..Faults::default() });
+    }
+    let key = fleet.key("chonburi");
+    let address = fleet.callers("notice-1");
+    let before = fleet.runs().len();
+    let open = actix_web::rt::spawn(async move {
+        Client::default().send(&Request::get("/notices/open").key(&key), address).await.verdict
+    });
+    while fleet.runs().len() == before {
+        tokio::time::sleep(POLL).await;
+    }
+    for vm in fleet.vms() {
+        vm.target.set_faults(Faults::default());
+    }
+    let is_open = |vm: &&str| {
+        let runs = fleet.vm(vm).target.runs();
+        runs.last().is_some_and(|run| run.path == "/notices/open")
+    };
+    let vm = ["notice-1", "notice-2"].into_iter().find(is_open).expect("the run is recorded");
+    let token = context(&fleet, vm).expect("the node sends a context");
+    let field = format!("Monsoon-Context: {token}\r\n");
+    for other in fleet.vms().iter().filter(|other| other.place.vm != vm) {
+        assert_refused(&nested(other.node.listen().egress, &field).await);
+    }
+    let egress = fleet.vm(vm).node.listen().egress;
+    assert!(nested(egress, &field).await.starts_with("HTTP/1.1 200"));
+    assert_eq!(open.await.expect("the task ends"), Verdict::Whole);
+    assert_refused(&nested(egress, &field).await);
+}
+
+#[actix_web::test]
+async fn invented() {
+    let fleet = Fleet::start(fleet::small(1)).await.expect("the fleet starts");
+    let before = fleet.runs().len();
+    let key = fleet.key("chonburi");
+    let fields = [
+        String::new(),
+        format!("Authorization: Bearer {key}\r\n"),
+        "Monsoon-Context: \r\n".into(),
+        "Monsoon-Context: 0\r\n".into(),
+        format!("Monsoon-Context: {}\r\n", "0".repeat(64)),
+        format!("Monsoon-Context: {}\r\n", "f".repeat(5_000)),
+        "Monsoon-Context: \u{e4}\u{f6}\r\n".into(),
+    ];
+    for field in &fields {
+        let answer = nested(fleet.vm("bench-1").node.listen().egress, field).await;
+        assert!(answer.starts_with("HTTP/1.1 4"), "{field} gave {answer}");
+        // A context is no key for the callers' listener either.
+        if !field.starts_with("Authorization") {
+            let answer = nested(fleet.callers("bench-1"), field).await;
+            assert!(answer.starts_with("HTTP/1.1 4"), "{field} gave {answer}");
+        }
+    }
+    assert_eq!(fleet.runs().len(), before);
+}
--- /dev/null
+++ b/daemon/tests/graceful_exit.rs
@@ -0,0 +1,68 @@
+//! A node that is asked to end finishes what is in flight and exits with 0.
+
+use {
+    monsoon_testutils::{
+        audit::Audit,
+        client::{Request, Verdict},
+        fleet::{self, Fleet, POLL},
+        target::Faults,
+    },
+    nix::sys::signal::Signal,
+    std::{rc::Rc, time::Duration},
+};
+
+const EXIT: Duration = Duration::from_secs(10);
+
+/// Sends bookings to a node and waits until all of them run.
+async fn start_bookings(
+    fleet: &Fleet,
+    audit: &Rc<Audit>,
+    address: std::net::SocketAddr,
+) -> Vec<actix_web::rt::task::JoinHandle<Verdict>> {
+    const COUNT: usize = 20;
+    let booked = || fleet.runs().iter().filter(|f| f.run.path.starts_with("/bookings")).count();
+    let before = booked();
+    let send = |number| {
+        let path = format!("/bookings/{}-{number}", address.port());
+        let request = Request::post(&path, "").key(&fleet.key("chonburi"));
+        let audit = audit.clone();
+        actix_web::rt::spawn(async move { audit.send(request, address).await })
+    };
+    let sent = (0..COUNT).map(send).collect();
+    while booked() < before + COUNT {
+        tokio::time::sleep(POLL).await;
+    }
+    sent
+}
+
+#[actix_web::test]
+async fn requests_in_flight() {
+    let mut fleet = Fleet::start(fleet::small(1)).await.expect("the fleet starts");
+    for vm in fleet.vms() {
+        vm.target.set_faults(Faults { delay_ms: 600, ..Faults::default() });
+    }
+    let audit = Rc::new(Audit::default());
+    // The node holds calls of its own callers, and runs calls that came through another node.
+    let own = start_bookings(&fleet, &audit, fleet.callers("bench-1")).await;
+    let other = start_bookings(&fleet, &audit, fleet.callers("notice-1")).await;
+    let node = &mut fleet.vm_mut("bench-1").node;
+    node.signal(Signal::SIGTERM).expect("the node runs");
+    for sent in own.into_iter().chain(other) {
+        assert_eq!(sent.await.expect("the task ends"), Verdict::Whole);
+    }
+    let status = fleet.vm_mut("bench-1").node.wait(EXIT).await.expect("the node ends");
+    assert_eq!(status.code(), Some(0));
+    assert_eq!(audit.check(&fleet), []);
+}
+
+#[actix_web::test]
+async fn idle_connections() {
+    let mut fleet = Fleet::start(fleet::small(1)).await.expect("the fleet starts");
+    let address = fleet.callers("bench-1");
+    let idle = tokio::net::TcpStream::connect(address).await.expect("the node listens");
+    let node = &mut fleet.vm_mut("bench-1").node;
+    node.signal(Signal::SIGTERM).expect("the node runs");
+    let status = node.wait(EXIT).await.expect("the node ends");
+    assert_eq!(status.code(), Some(0));
+    drop(idle);
+}
