admission: own time in the limit, standing queue by class

A slow deeper pool raised the latency of every pool above it, and their limits fell with it. The gate is now told when nested calls open and end, and the limit learns from the rest of the latency only. Probes wait until latencies show the lower limit, because the first calls to end are the short ones. A browse queue that stood cut the waits of bookings too; each class now stands on its own. A target that reports its limit is not ramped a second time by the picker.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -4,12 +4,19 @@
 //! through. A call that cannot be served in time is refused when that is known, never held until its
 //! deadline. See docs/design/admission.md for the options and docs/operate/overload.md for operators.
 
+mod event;
 mod level;
 mod limit;
 mod queue;
+mod run;
 mod service;
+mod settings;
 
-pub use limit::{Phase, Settings as LimitSettings};
+pub use {
+    event::{Ask, Decision, Ended, Hint, Kind, Offered, Release},
+    limit::{Phase, Settings as LimitSettings},
+    settings::Settings,
+};
 
 use {
     crate::{
@@ -20,8 +27,9 @@
     },
     level::Levels,
     limit::Limit,
-    queue::{Entry, Queue},
-    serde::{Deserialize, Serialize},
+    queue::{ByClass, Entry, Queue},
+    run::Run,
+    serde::Serialize,
     service::Service,
     std::{collections::HashMap, time::Duration},
 };
@@ -33,128 +41,6 @@
 /// Refusals further apart than this belong to two overloads.
 const CALM: Duration = Duration::from_millis(500);
 
-/// How a gate decides.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Settings {
-    /// How the number of calls in flight adapts.
-    pub limit: LimitSettings,
-    /// The most calls that wait.
-    pub max_queue: usize,
-    /// The longest wait while the queue empties from time to time, in milliseconds.
-    pub wait_ms: u64,
-    /// The longest wait while the queue stands, in milliseconds.
-    pub standing_wait_ms: u64,
-    /// A queue that never got shorter than half its allowed wait for this time stands, in
-    /// milliseconds.
-    pub standing_after_ms: u64,
-    /// Whether a standing queue serves its newest calls first.
-    pub is_newest_first: bool,
-    /// The time at its sold rate that an account may catch up on, in milliseconds.
-    pub credit_ms: u64,
-    /// A class with calls is served at least once in this time, in milliseconds.
-    pub floor_ms: u64,
-    /// Whether classes and accounts count. Otherwise calls are served in order of arrival.
-    pub is_fair: bool,
-    /// The shortest time after which a refused caller may come again, in milliseconds.
-    pub min_retry_after_ms: u64,
-    /// The longest time after which a refused caller may come again, in milliseconds.
-    pub max_retry_after_ms: u64,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            limit: LimitSettings::default(),
-            max_queue: 1024,
-            wait_ms: 100,
-            standing_wait_ms: 20,
-            standing_after_ms: 100,
-            is_newest_first: true,
-            credit_ms: 500,
-            floor_ms: 1000,
-            is_fair: true,
-            min_retry_after_ms: 100,
-            max_retry_after_ms: 1000,
-        }
-    }
-}
-
-/// What the gate has to know of a call.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// The account that pays, or none on a route open to all.
-    pub account: Option<id::Account>,
-    /// The account's sold rate, in requests a second.
-    pub weight: u32,
-    /// The class of the call.
-    pub class: Class,
-    /// When an answer is of no more use.
-    pub deadline: Instant,
-    /// The number of calls above this one.
-    pub depth: u8,
-}
-
-/// What the gate does with an offered call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Decision {
-    /// The call runs now.
-    Run,
-    /// The call waits and comes back in a [`Release`].
-    Queued,
-    /// The call is refused and did not run.
-    Refused(Refusal),
-}
-
-/// The end of a call's wait.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Release {
-    /// The call runs now.
-    Run(id::Call),
-    /// The call is refused and did not run.
-    Refuse(id::Call, Refusal),
-}
-
-/// The decision on an offered call, and the waits that ended through it.
-#[derive(Clone, Debug)]
-pub struct Offered {
-    /// What happens to the offered call.
-    pub decision: Decision,
-    /// What happens to calls that waited.
-    pub releases: Vec<Release>,
-}
-
-/// How a call that ran came to its end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Kind {
-    /// The target answered.
-    Ok,
-    /// The target answered with a failure of its own.
-    Failed,
-    /// The target declared that it did not run the call, because it has no room.
-    Shed,
-    /// The call was given up before the target answered.
-    Cancelled,
-    /// The link to the target broke.
-    Broken,
-}
-
-/// The end of a call that ran.
-#[derive(Clone, Copy, Debug)]
-pub struct Ended {
-    /// The time since the call was released, with the set-up of a connection where one was made.
-    pub latency: Duration,
-    /// How it ended.
-    pub kind: Kind,
-}
-
-/// The load that a target reports of itself. It may lag, freeze or lie.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Hint {
-    /// The share of its slots that are busy.
-    pub load: f64,
-}
-
 /// The state of a gate, for operators.
 #[derive(Clone, Debug, Serialize)]
 pub struct Dump {
@@ -166,8 +52,8 @@
     pub in_flight: usize,
     /// The calls that wait, by class.
     pub waiting: [usize; Class::ALL.len()],
-    /// Whether the queue stands, so that waits are short and the newest calls go first.
-    pub is_standing: bool,
+    /// Whether calls of a class stand, so that waits are short and the newest ones go first.
+    pub is_standing: [bool; Class::ALL.len()],
     /// The mean latency of the last window.
     pub latency: Option<Duration>,
     /// The latency that is expected where the target does not queue.
@@ -184,11 +70,11 @@
     settings: Settings,
     limit: Limit,
     queue: Queue,
-    running: HashMap<id::Call, Class>,
+    running: HashMap<id::Call, Run>,
     service: Service,
     levels: Levels,
     reported: Option<Hint>,
-    above_since: Option<Instant>,
+    above_since: ByClass<Option<Instant>>,
     refused_since: Option<Instant>,
     last_refused: Instant,
 }
@@ -206,7 +92,7 @@
             service: Service::default(),
             levels: Levels::new(now),
             reported: None,
-            above_since: None,
+            above_since: Default::default(),
             refused_since: None,
             last_refused: now,
             settings,
@@ -231,19 +117,35 @@
 
     /// Notes the end of a call that ran, and releases calls that waited for its place.
     pub fn done(&mut self, now: Instant, call: id::Call, ended: Ended) -> Vec<Release> {
-        let Some(class) = self.running.remove(&call) else { return Vec::new() };
+        let Some(run) = self.running.remove(&call) else { return Vec::new() };
+        let nested = run.nested(now).min(ended.latency);
         match ended.kind {
             Kind::Ok => {
-                self.limit.sample(now, ended.latency);
-                self.service.sample(now, class, ended.latency);
+                self.limit.sample(ended.latency, nested);
+                self.service.sample(now, run.class, ended.latency);
             }
             Kind::Shed => self.limit.shed(),
-            Kind::Cancelled | Kind::Broken => self.sample_censored(now, ended.latency),
+            Kind::Cancelled | Kind::Broken => self.sample_censored(ended.latency, nested),
             Kind::Failed => {}
         }
         self.tick(now)
     }
 
+    /// Notes that the target opened a nested call while it ran `call`. The time until
+    /// [`Gate::unnest`] is not the target's own.
+    pub fn nest(&mut self, now: Instant, call: id::Call) {
+        if let Some(run) = self.running.get_mut(&call) {
+            run.nest(now);
+        }
+    }
+
+    /// Notes that a nested call of `call` ended.
+    pub fn unnest(&mut self, now: Instant, call: id::Call) {
+        if let Some(run) = self.running.get_mut(&call) {
+            run.unnest(now);
+        }
+    }
+
     /// Forgets a call that waits and is no longer wanted. Returns whether it was waiting, and so
     /// did not run. A call that runs is ended by [`Gate::done`].
     pub fn cancel(&mut self, now: Instant, call: id::Call) -> bool {
@@ -279,11 +181,11 @@
 
     /// Returns what the nodes upstream should know.
     pub fn pressure(&self, now: Instant) -> pressure::Report {
-        let oldest = self.queue.oldest().map_or(Duration::ZERO, |arrived| now - arrived);
+        let oldest = Class::ALL.into_iter().filter_map(|class| self.queue.oldest(class)).min();
         pressure::Report {
             in_flight: self.running.len() as u32,
             limit: self.limit.calls(),
-            queue_delay: oldest,
+            queue_delay: oldest.map_or(Duration::ZERO, |arrived| now - arrived),
             latency: self.limit.mean().unwrap_or_default(),
             retry_after: self.retry_after(now),
             slices: self.levels.slices(),
@@ -297,7 +199,7 @@
             limit: self.limit.calls(),
             in_flight: self.running.len(),
             waiting: Class::ALL.map(|class| self.queue.len_of(class)),
-            is_standing: self.is_standing(now),
+            is_standing: Class::ALL.map(|class| self.is_standing(now, class)),
             latency: self.limit.mean(),
             expected_latency: self.limit.expected(),
             reported: self.reported,
@@ -323,7 +225,7 @@
         if self.queue.is_empty() && self.running.len() < self.limit.calls() as usize {
             let account = self.account(ask);
             self.queue.pass(&account, ask.weight, class);
-            self.running.insert(call, ask.class);
+            self.running.insert(call, Run::new(ask.class));
             return Decision::Run;
         }
         let entry = self.entry(now, call, ask, ask.deadline - service);
@@ -336,8 +238,8 @@
     fn enqueue(&mut self, now: Instant, entry: Entry, releases: &mut Vec<Release>) -> Decision {
         let is_due = self.queue.is_starved(entry.class, now);
         if self.queue.len() >= self.max_queue() && !is_due {
-            let is_newest_first = self.is_newest_first(now);
-            let Some(victim) = self.queue.evict(now, &entry, is_newest_first) else {
+            let is_newest_first = self.newest_first(now);
+            let Some(victim) = self.queue.evict(now, &entry, &is_newest_first) else {
                 return Decision::Refused(self.refusal(now));
             };
             self.give_up(now, &victim, releases);
@@ -368,17 +270,17 @@
     }
 
     fn expire(&mut self, now: Instant, releases: &mut Vec<Release>) {
-        let max_wait = self.max_wait(now);
-        while let Some(entry) = self.queue.expire(now, max_wait) {
+        let max_wait = Class::ALL.map(|class| self.max_wait(now, class));
+        while let Some(entry) = self.queue.expire(now, &max_wait) {
             self.give_up(now, &entry, releases);
         }
     }
 
     fn pump(&mut self, now: Instant, releases: &mut Vec<Release>) {
-        let is_newest_first = self.is_newest_first(now);
+        let is_newest_first = self.newest_first(now);
         while self.running.len() < self.limit.calls() as usize {
-            let Some(entry) = self.queue.pop(now, is_newest_first) else { break };
-            self.running.insert(entry.call, entry.origin.0);
+            let Some(entry) = self.queue.pop(now, &is_newest_first) else { break };
+            self.running.insert(entry.call, Run::new(entry.origin.0));
             releases.push(Release::Run(entry.call));
         }
     }
@@ -418,21 +320,21 @@
         let has_room = self.queue.is_empty() && in_flight < self.limit.calls() as usize;
         self.levels.tick(now, has_room);
         let target = self.standing_wait() / 2;
-        let is_above = self.queue.oldest().is_some_and(|arrived| now - arrived > target);
-        if is_above {
-            self.above_since.get_or_insert(now);
-        } else {
-            self.above_since = None;
+        for class in Class::ALL {
+            let oldest = self.queue.oldest(class);
+            let is_above = oldest.is_some_and(|arrived| now - arrived > target);
+            let since = &mut self.above_since[class.index()];
+            *since = is_above.then(|| since.unwrap_or(now));
         }
     }
 
-    fn is_standing(&self, now: Instant) -> bool {
+    fn is_standing(&self, now: Instant, class: Class) -> bool {
         let after = Duration::from_millis(self.settings.standing_after_ms);
-        self.above_since.is_some_and(|since| now - since >= after)
+        self.above_since[class.index()].is_some_and(|since| now - since >= after)
     }
 
-    fn is_newest_first(&self, now: Instant) -> bool {
-        self.settings.is_newest_first && self.is_standing(now)
+    fn newest_first(&self, now: Instant) -> ByClass<bool> {
+        Class::ALL.map(|class| self.settings.is_newest_first && self.is_standing(now, class))
     }
 
     /// The mean time between two completions while the limit is used up.
@@ -446,9 +348,9 @@
         floor.max(self.gap().mul_f64(STANDING_GAPS))
     }
 
-    fn max_wait(&self, now: Instant) -> Duration {
+    fn max_wait(&self, now: Instant, class: Class) -> Duration {
         let standing = self.standing_wait();
-        if self.is_standing(now) {
+        if self.is_standing(now, class) {
             return standing;
         }
         standing.max(Duration::from_millis(self.settings.wait_ms))
@@ -465,7 +367,7 @@
     }
 
     fn wait_of(&self, now: Instant, entry: &Entry) -> Duration {
-        if self.is_newest_first(now) {
+        if self.newest_first(now)[entry.class.index()] {
             return Duration::ZERO;
         }
         let ahead = self.queue.ahead(&entry.account, entry.weight, entry.class);
@@ -473,9 +375,9 @@
     }
 
     /// A call that was given up counts only where it shows that latency is above the mean.
-    fn sample_censored(&mut self, now: Instant, latency: Duration) {
+    fn sample_censored(&mut self, latency: Duration, nested: Duration) {
         if self.limit.mean().is_some_and(|mean| latency > mean) {
-            self.limit.sample(now, latency);
+            self.limit.sample(latency, nested);
         }
     }
 }
--- a/lib/src/admission/level.rs
+++ b/lib/src/admission/level.rs
@@ -19,6 +19,8 @@
 const SLOW_GROWTH: f64 = 1.1;
 /// The growth of a share in a window in which the target had room.
 const FAST_GROWTH: f64 = 2.0;
+/// The part of a window in which the target must have had room to count as having room.
+const ROOM_SHARE: f64 = 0.2;
 /// The smallest share, so that some calls still arrive and show when there is room.
 const MIN_SHARE: f64 = 0.02;
 /// The most classes and accounts that are tracked.
@@ -62,13 +64,21 @@
 pub struct Levels {
     shares: BTreeMap<(Class, Option<id::Account>), Share>,
     start: Instant,
-    had_room: bool,
+    last: Instant,
+    has_room: bool,
+    room: Duration,
 }
 
 impl Levels {
     /// Starts with full shares.
     pub fn new(now: Instant) -> Self {
-        Self { shares: BTreeMap::new(), start: now, had_room: false }
+        Self {
+            shares: BTreeMap::new(),
+            start: now,
+            last: now,
+            has_room: false,
+            room: Duration::ZERO,
+        }
     }
 
     /// Notes a call that arrived.
@@ -88,11 +98,16 @@
 
     /// Changes the shares at the end of a window.
     pub fn tick(&mut self, now: Instant, has_room: bool) {
-        self.had_room |= has_room;
-        if now - self.start < WINDOW {
+        if self.has_room {
+            self.room += now - self.last;
+        }
+        self.last = now;
+        self.has_room = has_room;
+        let window = now - self.start;
+        if window < WINDOW {
             return;
         }
-        let had_room = self.had_room;
+        let had_room = self.room >= window.mul_f64(ROOM_SHARE);
         self.shares.retain(|_, share| !share.is_idle());
         for share in self.shares.values_mut() {
             let is_telling = share.offered >= MIN_OFFERED || share.refused == 0;
@@ -101,7 +116,7 @@
             }
         }
         self.start = now;
-        self.had_room = has_room;
+        self.room = Duration::ZERO;
     }
 
     /// Returns the shares below one, the smallest first, at most [`pressure::MAX_SLICES`].
--- a/lib/src/admission/limit.rs
+++ b/lib/src/admission/limit.rs
@@ -1,10 +1,11 @@
 //! How many calls the target may run at once, learned from its own latencies and outcomes.
 //!
 //! A rise of latency alone does not say that the target queues: a deeper service may have become
-//! slow, and fewer calls at once would then only lose throughput. So a rise starts a probe: the
-//! limit is halved for a few service times. Where latency falls with it, the target was queueing and
-//! the limit becomes throughput times the latency of the probe (Little's law). Where it does not,
-//! the new latency becomes the expected one and the limit stays. See docs/design/admission.md.
+//! slow, and fewer calls at once would then only lose throughput. So only the time that the target
+//! did not spend waiting for nested calls counts, and a rise of it starts a probe: the limit is
+//! halved for a few service times. Where the time falls with it, the target was queueing and the
+//! limit becomes throughput times latency without the queue (Little's law). Where it does not, the
+//! new time becomes the expected one and the limit stays. See docs/design/admission.md.
 
 use {
     crate::time::Instant,
@@ -19,13 +20,17 @@
 /// The weight of one window in the expected latency.
 const BASE_WEIGHT: f64 = 0.1;
 /// The share of the limit that is left during a probe.
-const PROBE_SHARE: f64 = 0.5;
-/// Latency that falls to this share or less during a probe shows a queue in the target.
-const QUEUE_RATIO: f64 = 0.75;
+const PROBE_SHARE: f64 = 0.6;
+/// Own time that falls to this share or less during a probe shows a queue in the target.
+const QUEUE_RATIO: f64 = 0.8;
+/// The samples of a probe.
+const PROBE_SAMPLES: u32 = 80;
+/// The share of the limit that must be used for a rise of own time to start a probe.
+const BUSY_SHARE: f64 = 0.5;
 /// The limit after one window with calls shed by the target.
 const SHED_FACTOR: f64 = 0.9;
-/// The growth of the limit in one window of a cold target's ramp.
-const RAMP_FACTOR: f64 = 1.5;
+/// The growth of a cold target's limit with each completed call.
+const RAMP_STEP: f64 = 0.25;
 /// The growth of the limit in one window outside a ramp.
 const GROW_FACTOR: f64 = 1.02;
 /// Windows without growth after a window with calls shed by the target.
@@ -43,11 +48,13 @@
     pub max_share: f64,
     /// The share of the published slots at which a cold target starts.
     pub cold_share: f64,
+    /// The time after which a target is no longer cold, in milliseconds.
+    pub ramp_ms: u64,
     /// The shortest time over which latencies are averaged, in milliseconds.
     pub window_ms: u64,
-    /// Latency up to this multiple of the expected one lets the limit grow.
+    /// Own time up to this multiple of the expected one lets the limit grow.
     pub grow_ratio: f64,
-    /// Latency over this multiple of the expected one starts a probe.
+    /// Own time over this multiple of the expected one starts a probe.
     pub probe_ratio: f64,
 }
 
@@ -58,6 +65,7 @@
             min_calls: 2,
             max_share: 1.0,
             cold_share: 0.1,
+            ramp_ms: 2000,
             window_ms: 100,
             grow_ratio: 1.2,
             probe_ratio: 1.5,
@@ -75,6 +83,8 @@
     Steady,
     /// A probe waits until few enough calls are running.
     Drain,
+    /// A probe waits until latencies show the lower limit.
+    Settle,
     /// A probe collects latencies.
     Probe,
 }
@@ -83,29 +93,46 @@
 #[derive(Clone, Debug)]
 struct Window {
     start: Instant,
-    sum_s: f64,
+    latency_s: f64,
+    own_s: f64,
     count: u32,
-    is_saturated: bool,
+    most: usize,
     has_shed: bool,
 }
 
 impl Window {
     fn new(start: Instant) -> Self {
-        Self { start, sum_s: 0.0, count: 0, is_saturated: false, has_shed: false }
+        Self { start, latency_s: 0.0, own_s: 0.0, count: 0, most: 0, has_shed: false }
     }
 
-    fn mean_s(&self) -> Option<f64> {
-        (self.count > 0).then(|| self.sum_s / f64::from(self.count))
+    fn mean(&self) -> Option<Mean> {
+        let mean_s = |sum_s: f64| sum_s / f64::from(self.count);
+        let mean = Mean { latency_s: mean_s(self.latency_s), own_s: mean_s(self.own_s) };
+        (self.count > 0).then_some(mean)
     }
 }
 
+/// Mean times of one window, whole and without the wait for nested calls.
+#[derive(Clone, Copy, Debug)]
+struct Mean {
+    latency_s: f64,
+    own_s: f64,
+}
+
 /// What raised the suspicion that the target queues.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
-    mean_s: f64,
+    mean: Mean,
     per_s: f64,
 }
 
+impl Suspicion {
+    /// Returns the mean number of calls in flight, by Little's law.
+    fn calls(&self) -> f64 {
+        self.per_s * self.mean.latency_s
+    }
+}
+
 /// The adaptive limit of one target.
 #[derive(Clone, Debug)]
 pub struct Limit {
@@ -113,7 +140,7 @@
     slots: f64,
     calls: f64,
     base_s: Option<f64>,
-    mean_s: Option<f64>,
+    mean: Option<Mean>,
     phase: Phase,
     phase_since: Instant,
     suspicion: Suspicion,
@@ -133,10 +160,10 @@
             slots,
             calls,
             base_s: None,
-            mean_s: None,
+            mean: None,
             phase: if is_cold { Phase::Ramp } else { Phase::Steady },
             phase_since: now,
-            suspicion: Suspicion { mean_s: 0.0, per_s: 0.0 },
+            suspicion: Suspicion { mean: Mean { latency_s: 0.0, own_s: 0.0 }, per_s: 0.0 },
             window: Window::new(now),
             hold: 0,
         }
@@ -144,12 +171,11 @@
 
     /// Returns how many calls may run now.
     pub fn calls(&self) -> u32 {
-        let share = match self.phase {
-            Phase::Drain | Phase::Probe => PROBE_SHARE,
-            Phase::Ramp | Phase::Steady => 1.0,
+        let calls = match self.phase {
+            Phase::Drain | Phase::Settle | Phase::Probe => self.suspicion.calls() * PROBE_SHARE,
+            Phase::Ramp | Phase::Steady => self.calls,
         };
-        let calls = (self.calls * share).round() as u32;
-        calls.max(self.settings.min_calls)
+        (calls.min(self.calls).round() as u32).max(self.settings.min_calls)
     }
 
     /// Returns what the limit is doing.
@@ -159,18 +185,18 @@
 
     /// Returns the mean latency of the last whole window.
     pub fn mean(&self) -> Option<Duration> {
-        self.mean_s.map(Duration::from_secs_f64)
+        self.mean.map(|mean| Duration::from_secs_f64(mean.latency_s))
     }
 
-    /// Returns the latency that is expected where the target does not queue.
+    /// Returns the own time that is expected where the target does not queue.
     pub fn expected(&self) -> Option<Duration> {
         self.base_s.map(Duration::from_secs_f64)
     }
 
     /// Returns the calls a second that the target completes when the limit is used up.
     pub fn capacity_per_s(&self) -> Option<f64> {
-        let mean_s = self.mean_s.or(self.window.mean_s())?;
-        Some(f64::from(self.calls()) / mean_s.max(1e-6))
+        let mean = self.mean.or(self.window.mean())?;
+        Some(f64::from(self.calls()) / mean.latency_s.max(1e-6))
     }
 
     /// Takes in new published slots.
@@ -182,15 +208,17 @@
 
     /// Notes the calls in flight after one was started or had to wait.
     pub fn used(&mut self, in_flight: usize) {
-        self.window.is_saturated |= in_flight >= self.calls() as usize;
+        self.window.most = self.window.most.max(in_flight);
     }
 
-    /// Notes the latency of a call that the target worked on.
-    pub fn sample(&mut self, now: Instant, latency: Duration) {
-        if self.phase == Phase::Probe && now - latency < self.phase_since {
-            return;
+    /// Notes the latency of a call that the target worked on, and the part of it for which the
+    /// target waited for nested calls.
+    pub fn sample(&mut self, latency: Duration, nested: Duration) {
+        if self.phase == Phase::Ramp && self.is_used(1.0) {
+            self.set(self.calls + RAMP_STEP);
         }
-        self.window.sum_s += latency.as_secs_f64();
+        self.window.latency_s += latency.as_secs_f64();
+        self.window.own_s += latency.saturating_sub(nested).as_secs_f64();
         self.window.count += 1;
     }
 
@@ -205,13 +233,22 @@
             self.measure_only(now);
             return;
         }
+        if self.phase == Phase::Ramp {
+            self.tick_ramp(now);
+        }
         match self.phase {
             Phase::Drain => self.tick_drain(now, in_flight),
+            Phase::Settle => self.tick_settle(now),
             Phase::Probe => self.tick_probe(now),
             Phase::Ramp | Phase::Steady => self.tick_window(now),
         }
     }
 
+    /// Tells whether in this window the calls in flight reached a share of the limit.
+    fn is_used(&self, share: f64) -> bool {
+        self.window.most as f64 >= f64::from(self.calls()) * share
+    }
+
     fn is_window_over(&self, now: Instant) -> bool {
         let age = now - self.window.start;
         let nominal = Duration::from_millis(self.settings.window_ms);
@@ -225,7 +262,17 @@
     fn measure_only(&mut self, now: Instant) {
         if self.is_window_over(now) {
             let window = self.take_window(now);
-            self.mean_s = window.mean_s().or(self.mean_s);
+            self.mean = window.mean().or(self.mean);
+        }
+    }
+
+    fn tick_ramp(&mut self, now: Instant) {
+        let is_over = now - self.phase_since >= Duration::from_millis(self.settings.ramp_ms);
+        if is_over {
+            self.set(self.slots);
+        }
+        if is_over || self.calls >= self.slots {
+            self.enter(now, Phase::Steady);
         }
     }
 
@@ -233,6 +280,8 @@
         if !self.is_window_over(now) {
             return;
         }
+        let is_busy = self.is_used(BUSY_SHARE);
+        let is_saturated = self.is_used(1.0);
         let window = self.take_window(now);
         self.hold = self.hold.saturating_sub(1);
         if window.has_shed {
@@ -240,38 +289,30 @@
             self.hold = HOLD_WINDOWS;
             self.set(self.calls * SHED_FACTOR);
         }
-        let Some(mean_s) = window.mean_s() else { return };
-        self.mean_s = Some(mean_s);
-        let base_s = self.follow(mean_s, window.is_saturated);
-        if !window.is_saturated || window.has_shed {
+        let Some(mean) = window.mean() else { return };
+        self.mean = Some(mean);
+        let base_s = self.follow(mean.own_s, is_busy);
+        if !is_busy || window.has_shed {
             return;
         }
-        if mean_s > base_s * self.settings.probe_ratio {
+        if mean.own_s > base_s * self.settings.probe_ratio {
             let age_s = (now - window.start).as_secs_f64();
-            let per_s = f64::from(window.count) / age_s;
-            self.suspicion = Suspicion { mean_s, per_s };
+            self.suspicion = Suspicion { mean, per_s: f64::from(window.count) / age_s };
             self.enter(now, Phase::Drain);
-        } else if mean_s <= base_s * self.settings.grow_ratio && self.hold == 0 {
-            self.grow();
+        } else if is_saturated && mean.own_s <= base_s * self.settings.grow_ratio && self.hold == 0
+        {
+            self.set((self.calls * GROW_FACTOR).max(self.calls + 1.0));
         }
     }
 
-    fn follow(&mut self, mean_s: f64, is_saturated: bool) -> f64 {
-        let base_s = self.base_s.unwrap_or(mean_s);
-        let follows = !is_saturated || mean_s < base_s;
-        let base_s = if follows { base_s + BASE_WEIGHT * (mean_s - base_s) } else { base_s };
+    fn follow(&mut self, own_s: f64, is_busy: bool) -> f64 {
+        let base_s = self.base_s.unwrap_or(own_s);
+        let follows = !is_busy || own_s < base_s;
+        let base_s = if follows { base_s + BASE_WEIGHT * (own_s - base_s) } else { base_s };
         self.base_s = Some(base_s);
         base_s
     }
 
-    fn grow(&mut self) {
-        let factor = if self.phase == Phase::Ramp { RAMP_FACTOR } else { GROW_FACTOR };
-        self.set((self.calls * factor).max(self.calls + 1.0));
-        if self.calls >= self.slots {
-            self.phase = Phase::Steady;
-        }
-    }
-
     fn set(&mut self, calls: f64) {
         let max = (self.slots * self.settings.max_share).max(1.0);
         let min = f64::from(self.settings.min_calls).min(max);
@@ -284,30 +325,37 @@
         self.window = Window::new(now);
     }
 
-    /// The longest time that one phase of a probe may take.
-    fn patience(&self) -> Duration {
-        let nominal = Duration::from_millis(self.settings.window_ms);
-        nominal.max(Duration::from_secs_f64(2.0 * self.suspicion.mean_s))
+    /// The time in which calls that run have mostly ended.
+    fn turnover(&self) -> Duration {
+        Duration::from_secs_f64(2.0 * self.suspicion.mean.latency_s)
     }
 
     fn tick_drain(&mut self, now: Instant, in_flight: usize) {
         if in_flight <= self.calls() as usize {
-            self.enter(now, Phase::Probe);
-        } else if now - self.phase_since > self.patience() {
+            self.enter(now, Phase::Settle);
+        } else if now - self.phase_since > self.turnover() * 2 {
             self.accept_latency(now);
         }
     }
 
+    fn tick_settle(&mut self, now: Instant) {
+        if now - self.phase_since >= self.turnover() {
+            self.enter(now, Phase::Probe);
+        }
+    }
+
     fn tick_probe(&mut self, now: Instant) {
-        let wanted = WINDOW_SAMPLES.min(4 * self.calls());
-        let is_late = now - self.phase_since > self.patience();
-        if self.window.count < wanted && !is_late {
+        let nominal = Duration::from_millis(self.settings.window_ms);
+        let is_late = now - self.phase_since > nominal.max(self.turnover()) * MAX_WINDOWS;
+        if self.window.count < PROBE_SAMPLES && !is_late {
             return;
         }
-        match self.window.mean_s() {
-            Some(mean_s) if mean_s <= self.suspicion.mean_s * QUEUE_RATIO => {
-                self.set(self.suspicion.per_s * mean_s);
-                self.mean_s = Some(mean_s);
+        let before = self.suspicion.mean;
+        match self.window.mean() {
+            Some(mean) if mean.own_s <= before.own_s * QUEUE_RATIO => {
+                let latency_s = before.latency_s - before.own_s + mean.own_s;
+                self.set(self.suspicion.per_s * latency_s);
+                self.mean = Some(Mean { latency_s, own_s: mean.own_s });
                 self.enter(now, Phase::Steady);
             }
             _ => self.accept_latency(now),
@@ -315,7 +363,7 @@
     }
 
     fn accept_latency(&mut self, now: Instant) {
-        self.base_s = Some(self.suspicion.mean_s);
+        self.base_s = Some(self.suspicion.mean.own_s);
         self.enter(now, Phase::Steady);
     }
 }
--- a/lib/src/admission/queue.rs
+++ b/lib/src/admission/queue.rs
@@ -17,6 +17,9 @@
 /// Flows of one lane above which idle ones are dropped.
 const MAX_FLOWS: usize = 1024;
 
+/// One value for each class, in the order of [`Class::ALL`].
+pub type ByClass<T> = [T; Class::ALL.len()];
+
 /// A call that waits.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -78,6 +81,7 @@
 struct Lane {
     flows: BTreeMap<Option<id::Account>, Flow>,
     active: BTreeSet<Option<id::Account>>,
+    by_arrival: BTreeSet<(Instant, usize)>,
     virtual_time: f64,
     len: usize,
     starved_since: Option<Instant>,
@@ -129,7 +133,6 @@
     floor: Duration,
     entries: Slab<(Entry, u64)>,
     by_call: HashMap<id::Call, usize>,
-    by_arrival: BTreeSet<(Instant, usize)>,
     by_give_up: BTreeSet<(Instant, usize)>,
     lanes: [Lane; Class::ALL.len()],
     next_number: u64,
@@ -144,7 +147,6 @@
             floor,
             entries: Slab::new(),
             by_call: HashMap::new(),
-            by_arrival: BTreeSet::new(),
             by_give_up: BTreeSet::new(),
             lanes: Default::default(),
             next_number: 0,
@@ -166,9 +168,9 @@
         self.lanes[class.index()].len
     }
 
-    /// Returns when the longest waiting call was offered.
-    pub fn oldest(&self) -> Option<Instant> {
-        self.by_arrival.first().map(|(arrived, _)| *arrived)
+    /// Returns when the longest waiting call of a class was offered.
+    pub fn oldest(&self, class: Class) -> Option<Instant> {
+        self.lanes[class.index()].by_arrival.first().map(|(arrived, _)| *arrived)
     }
 
     /// Tells whether the class waited for its floor and has at most one call in the queue.
@@ -211,17 +213,18 @@
         lane.len += 1;
         lane.active.insert(entry.account.clone());
         let slot = self.entries.vacant_key();
+        lane.by_arrival.insert((entry.arrived, slot));
         let flow = lane.flow(&entry.account, entry.weight, self.credit_s);
         flow.waiting.insert(position, slot);
         self.by_call.insert(entry.call, slot);
-        self.by_arrival.insert((entry.arrived, slot));
         self.by_give_up.insert((entry.give_up, slot));
         self.entries.insert((entry, number));
     }
 
-    /// Takes the call that runs next.
-    pub fn pop(&mut self, now: Instant, is_newest_first: bool) -> Option<Entry> {
+    /// Takes the call that runs next. Some classes serve their newest calls first.
+    pub fn pop(&mut self, now: Instant, is_newest_first: &ByClass<bool>) -> Option<Entry> {
         let class = self.next_class(now)?;
+        let is_newest_first = is_newest_first[class.index()];
         let lane = &mut self.lanes[class.index()];
         let account = lane.next()?;
         let flow = &lane.flows[&account];
@@ -242,9 +245,10 @@
         &mut self,
         now: Instant,
         newcomer: &Entry,
-        is_newest_first: bool,
+        is_newest_first: &ByClass<bool>,
     ) -> Option<Entry> {
         let class = self.last_class(now)?;
+        let is_newest_first = is_newest_first[class.index()];
         if class < newcomer.class {
             return None;
         }
@@ -261,10 +265,15 @@
         yields.then(|| self.take(slot))
     }
 
-    /// Takes one call whose time is over, by its deadline or by `max_wait`.
-    pub fn expire(&mut self, now: Instant, max_wait: Duration) -> Option<Entry> {
+    /// Takes one call whose time is over, by its deadline or by the longest wait of its class.
+    pub fn expire(&mut self, now: Instant, max_wait: &ByClass<Duration>) -> Option<Entry> {
         let late = self.by_give_up.first().filter(|(give_up, _)| *give_up <= now);
-        let old = || self.by_arrival.first().filter(|(arrived, _)| now - *arrived > max_wait);
+        let old = || {
+            let lanes = self.lanes.iter().zip(max_wait);
+            let mut oldest =
+                lanes.filter_map(|(lane, wait)| Some((lane.by_arrival.first()?, wait)));
+            oldest.find(|((arrived, _), wait)| now - *arrived > **wait).map(|(first, _)| first)
+        };
         let slot = late.or_else(old)?.1;
         Some(self.take(slot))
     }
@@ -301,9 +310,9 @@
     fn take(&mut self, slot: usize) -> Entry {
         let (entry, number) = self.entries.remove(slot);
         self.by_call.remove(&entry.call);
-        self.by_arrival.remove(&(entry.arrived, slot));
         self.by_give_up.remove(&(entry.give_up, slot));
         let lane = &mut self.lanes[entry.class.index()];
+        lane.by_arrival.remove(&(entry.arrived, slot));
         lane.len -= 1;
         if let Some(flow) = lane.flows.get_mut(&entry.account) {
             flow.waiting.remove(&(u8::MAX - entry.depth, number));
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -244,7 +244,11 @@
         (busy / f64::from(load.limit)).clamp(0.0, 1.0)
     }
 
+    /// The part of its calls that a new target gets until its own node reports its limit.
     fn ramp(&self, now: Instant, settings: &Settings) -> f64 {
+        if self.fresh_load(now, settings).is_some() {
+            return 1.0;
+        }
         let Some(since) = self.since else { return 1.0 };
         let whole_s = Duration::from_millis(settings.ramp_ms.max(1)).as_secs_f64();
         ((now - since).as_secs_f64() / whole_s).clamp(MIN_RAMP, 1.0)
--- a/lib/src/node/arrive.rs
+++ b/lib/src/node/arrive.rs
@@ -65,9 +65,10 @@
             return self.refuse_new(call, refusal);
         }
         if let Origin::Target { parent } = checked.origin
-            && let Some(parent) = self.calls.get_mut(&parent)
+            && let Some(state) = self.calls.get_mut(&parent)
         {
-            parent.children.push(call);
+            state.children.push(call);
+            self.gate.nest(self.now, parent);
         }
         let state = Call {
             origin: checked.origin,
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -167,6 +167,7 @@
         if let Origin::Target { parent } = state.origin {
             let part = state.part.take();
             self.give_back(&state.origin, part, state.budget.left());
+            self.gate.unnest(self.now, parent);
             if let Some(parent) = self.calls.get_mut(&parent) {
                 parent.children.retain(|child| *child != call);
                 merge(&mut parent.pools, std::slice::from_ref(&state.offer.pool));
