crash: requests that crash targets are refused

A request that kills each target that runs it, and that its caller sends again, takes one target after another with all bookings in flight. Its fingerprint is now blamed for the crashes it was in flight at, and refused after the second. Whole answers clear bystanders, also ahead of a crash.

--- /dev/null
+++ b/lib/src/crash/proof.rs
@@ -0,0 +1,47 @@
+//! Requests that lately completed, and so do not crash their target.
+
+use {
+    crate::time::Instant,
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+#[derive(Debug)]
+pub(super) struct Proofs {
+    max: usize,
+    completed: HashMap<u64, Instant>,
+    order: VecDeque<(Instant, u64)>,
+}
+
+impl Proofs {
+    pub fn new(max: usize) -> Self {
+        Self { max, completed: HashMap::new(), order: VecDeque::new() }
+    }
+
+    pub fn add(&mut self, now: Instant, fingerprint: u64) {
+        self.completed.insert(fingerprint, now);
+        self.order.push_back((now, fingerprint));
+        while self.order.len() > self.max {
+            self.drop_first();
+        }
+    }
+
+    pub fn contains(&self, now: Instant, fingerprint: u64, proof: Duration) -> bool {
+        self.completed.get(&fingerprint).is_some_and(|at| now - *at < proof)
+    }
+
+    pub fn tick(&mut self, now: Instant, proof: Duration) {
+        while self.order.front().is_some_and(|(at, _)| now - *at >= proof) {
+            self.drop_first();
+        }
+    }
+
+    fn drop_first(&mut self) {
+        let Some((at, fingerprint)) = self.order.pop_front() else { return };
+        if self.completed.get(&fingerprint) == Some(&at) {
+            self.completed.remove(&fingerprint);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod config;
 pub mod context;
+pub mod crash;
 pub mod id;
 pub mod key;
 pub mod member;
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -39,6 +39,7 @@
     guard::{Asked, Guard, Own},
     ledger::{Entered, Ledger},
     memory::{Meeting, Memory, Part},
+    peers::Standing,
     rand::SeedableRng as _,
     rand_chacha::ChaCha8Rng,
     runner::{Denial, Runner},
@@ -108,6 +109,7 @@
     probes: HashMap<u64, (Vm, Instant)>,
     next_probe: Instant,
     probe_wait: Duration,
+    standing: Standing,
     random: ChaCha8Rng,
 }
 
@@ -129,6 +131,7 @@
             probes: HashMap::new(),
             next_probe: now,
             probe_wait: Duration::ZERO,
+            standing: Standing::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -283,6 +286,11 @@
         self.guard.tick(now, self.own(now), &self.settings);
         self.ledger.tick(now, &self.settings);
         self.runner.tick(now);
+        let standing = self.standing(now);
+        if standing != self.standing {
+            self.standing = standing;
+            self.hurry(now);
+        }
         let dropped = self.answers.tick(now);
         let mut actions: Vec<_> = dropped.into_iter().map(|call| Action::Drop { call }).collect();
         if now >= self.next_probe {
@@ -327,10 +335,11 @@
     // An absent key is new only where this node would know of every run of it in the window.
     fn knows(&self, now: Instant, route: &Route, id: &Id) -> bool {
         let knows_runs = self.memory.knows_runs(now, &self.settings);
+        let epoch = self.guard.epoch();
         let knows_own_runs = |vm: &Vm| *vm == self.me.vm && knows_runs;
         let knows_under = |roster: &[Vm]| match id.owner(roster) {
             Some(owner) if *owner == self.me.vm => true,
-            Some(owner) => self.memory.knows_moved(owner, roster, knows_own_runs),
+            Some(owner) => self.memory.knows_moved(epoch, owner, roster, knows_own_runs),
             None => true,
         };
         let retention = self.settings.retention();
--- a/lib/src/once/memory.rs
+++ b/lib/src/once/memory.rs
@@ -192,11 +192,13 @@
     /// a key does not run at its owner.
     pub fn knows_moved(
         &self,
+        epoch: Revision,
         owner: &Vm,
         roster: &[Vm],
         knows_own_runs: impl Fn(&Vm) -> bool,
     ) -> bool {
-        let Some(round) = &self.round else { return false };
+        let round = self.round.as_ref().filter(|round| round.epoch == epoch);
+        let Some(round) = round else { return false };
         let has_told = |vm: &Vm| round.runs_from.contains(vm) || knows_own_runs(vm);
         let mut others = roster.iter().filter(|vm| *vm != owner);
         round.grants_from.contains(owner) || roster.len() > 1 && others.all(has_told)
--- a/lib/src/once/peers.rs
+++ b/lib/src/once/peers.rs
@@ -14,6 +14,14 @@
 /// Records in one message. More are sent in parts.
 const RECORDS_PER_PART: usize = 2_000;
 
+/// What other nodes have to learn of this one as soon as it changes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Standing {
+    is_first: bool,
+    vouches: bool,
+    is_ready: bool,
+}
+
 impl Owner {
     // After a change the next probes follow each other quickly, so that all nodes learn of it.
     pub(super) fn hurry(&mut self, now: Instant) {
@@ -55,21 +63,24 @@
         if vm != from.vm || now - sent >= self.settings.fresh() {
             return Vec::new();
         }
-        let before = self.standing(now);
         self.memory.testify(&vm, pulse.earlier);
         self.guard.hear(sent, from, pulse);
         self.guard.tick(now, self.own(now), &self.settings);
-        if self.standing(now) == before {
+        let standing = self.standing(now);
+        if standing == self.standing {
             return Vec::new();
         }
+        self.standing = standing;
         self.hurry(now);
         self.ask_back(now)
     }
 
-    // What other nodes have to learn of this one as soon as it changes.
-    fn standing(&self, now: Instant) -> (bool, bool, bool) {
-        let is_ready = self.guard.is_ready(now, &self.settings);
-        (self.memory.is_first(), self.guard.vouches(), is_ready)
+    pub(super) fn standing(&self, now: Instant) -> Standing {
+        Standing {
+            is_first: self.memory.is_first(),
+            vouches: self.guard.vouches(),
+            is_ready: self.guard.is_ready(now, &self.settings),
+        }
     }
 
     pub(super) fn recall(
