admission: rarer probes, standing calls count as pressure

Probes cost a part of the throughput just when a service was slow, and pressure in a deep pool did not show while all its callers waited in its queue. A probe is now followed by twenty times its own length without one, starts at twice the expected time, and takes fewer samples; shares fall while calls of their class stand.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -318,7 +318,8 @@
         let in_flight = self.running.len();
         self.limit.used(in_flight + self.queue.len());
         let has_room = self.queue.is_empty() && in_flight < self.limit.calls() as usize;
-        self.levels.tick(now, has_room);
+        let is_standing = Class::ALL.map(|class| self.is_standing(now, class));
+        self.levels.tick(now, has_room, is_standing);
         let target = self.standing_wait() / 2;
         for class in Class::ALL {
             let oldest = self.queue.oldest(class);
--- a/lib/src/admission/level.rs
+++ b/lib/src/admission/level.rs
@@ -14,9 +14,11 @@
 /// The part of the arriving calls that may be refused without a fall of the share.
 const REFUSED_GOAL: f64 = 0.05;
 /// Fewer arrivals in a window say too little about a share.
-const MIN_OFFERED: u32 = 10;
+const MIN_OFFERED: u32 = 20;
 /// The growth of a share in a window with few refusals.
 const SLOW_GROWTH: f64 = 1.1;
+/// The fall of a share in a window at whose end calls of the class stand.
+const STANDING_FALL: f64 = 0.9;
 /// The growth of a share in a window in which the target had room.
 const FAST_GROWTH: f64 = 2.0;
 /// The part of a window in which the target must have had room to count as having room.
@@ -40,10 +42,12 @@
 }
 
 impl Share {
-    fn step(&mut self, had_room: bool) {
+    fn step(&mut self, had_room: bool, is_standing: bool) {
         let refused = f64::from(self.refused) / f64::from(self.offered.max(1));
         let factor = if had_room {
             FAST_GROWTH
+        } else if refused <= REFUSED_GOAL && is_standing {
+            STANDING_FALL
         } else if refused <= REFUSED_GOAL {
             SLOW_GROWTH
         } else {
@@ -97,7 +101,7 @@
     }
 
     /// Changes the shares at the end of a window.
-    pub fn tick(&mut self, now: Instant, has_room: bool) {
+    pub fn tick(&mut self, now: Instant, has_room: bool, is_standing: [bool; Class::ALL.len()]) {
         if self.has_room {
             self.room += now - self.last;
         }
@@ -109,10 +113,10 @@
         }
         let had_room = self.room >= window.mul_f64(ROOM_SHARE);
         self.shares.retain(|_, share| !share.is_idle());
-        for share in self.shares.values_mut() {
+        for ((class, _), share) in &mut self.shares {
             let is_telling = share.offered >= MIN_OFFERED || share.refused == 0;
             if is_telling || had_room {
-                share.step(had_room);
+                share.step(had_room, is_standing[class.index()]);
             }
         }
         self.start = now;
--- a/lib/src/admission/limit.rs
+++ b/lib/src/admission/limit.rs
@@ -24,7 +24,9 @@
 /// Own time that falls to this share or less during a probe shows a queue in the target.
 const QUEUE_RATIO: f64 = 0.8;
 /// The samples of a probe.
-const PROBE_SAMPLES: u32 = 80;
+const PROBE_SAMPLES: u32 = 40;
+/// The time between two probes, in times that a probe took. It bounds what probes cost.
+const PROBE_SPACING: u32 = 20;
 /// The share of the limit that must be used for a rise of own time to start a probe.
 const BUSY_SHARE: f64 = 0.5;
 /// The limit after one window with calls shed by the target.
@@ -68,7 +70,7 @@
             ramp_ms: 2000,
             window_ms: 100,
             grow_ratio: 1.2,
-            probe_ratio: 1.5,
+            probe_ratio: 2.0,
         }
     }
 }
@@ -143,6 +145,8 @@
     mean: Option<Mean>,
     phase: Phase,
     phase_since: Instant,
+    probe_since: Instant,
+    next_probe: Instant,
     suspicion: Suspicion,
     window: Window,
     hold: u32,
@@ -163,6 +167,8 @@
             mean: None,
             phase: if is_cold { Phase::Ramp } else { Phase::Steady },
             phase_since: now,
+            probe_since: now,
+            next_probe: now,
             suspicion: Suspicion { mean: Mean { latency_s: 0.0, own_s: 0.0 }, per_s: 0.0 },
             window: Window::new(now),
             hold: 0,
@@ -296,6 +302,10 @@
             return;
         }
         if mean.own_s > base_s * self.settings.probe_ratio {
+            if now < self.next_probe {
+                return;
+            }
+            self.probe_since = now;
             let age_s = (now - window.start).as_secs_f64();
             self.suspicion = Suspicion { mean, per_s: f64::from(window.count) / age_s };
             self.enter(now, Phase::Drain);
@@ -327,13 +337,18 @@
 
     /// The time in which calls that run have mostly ended.
     fn turnover(&self) -> Duration {
-        Duration::from_secs_f64(2.0 * self.suspicion.mean.latency_s)
+        Duration::from_secs_f64(self.suspicion.mean.latency_s)
+    }
+
+    fn end_probe(&mut self, now: Instant) {
+        self.next_probe = now + (now - self.probe_since) * PROBE_SPACING;
+        self.enter(now, Phase::Steady);
     }
 
     fn tick_drain(&mut self, now: Instant, in_flight: usize) {
         if in_flight <= self.calls() as usize {
             self.enter(now, Phase::Settle);
-        } else if now - self.phase_since > self.turnover() * 2 {
+        } else if now - self.phase_since > self.turnover() * 4 {
             self.accept_latency(now);
         }
     }
@@ -356,7 +371,7 @@
                 let latency_s = before.latency_s - before.own_s + mean.own_s;
                 self.set(self.suspicion.per_s * latency_s);
                 self.mean = Some(Mean { latency_s, own_s: mean.own_s });
-                self.enter(now, Phase::Steady);
+                self.end_probe(now);
             }
             _ => self.accept_latency(now),
         }
@@ -364,6 +379,6 @@
 
     fn accept_latency(&mut self, now: Instant) {
         self.base_s = Some(self.suspicion.mean.own_s);
-        self.enter(now, Phase::Steady);
+        self.end_probe(now);
     }
 }
