bench: overload in virtual time, with goals as tests

Fake targets with slots, random service times and queues of their own stand behind the real decisions; clients arrive in an open loop and retry hard. Each case runs without control, with a static limit, with all mechanisms and with each one off.

--- a/bench/src/commands.rs
+++ b/bench/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod compare;
 pub mod demo;
 pub mod latency;
+pub mod overload;
 pub mod run;
 
 use std::{io, path::PathBuf};
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Experiments that compare the project's decisions with simpler ones.
+
+pub mod overload;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -27,6 +27,7 @@
     Compare(commands::compare::Compare),
     Demo(commands::demo::Demo),
     Latency(commands::latency::Latency),
+    Overload(commands::overload::Overload),
     Run(commands::run::Run),
 }
 
@@ -36,6 +37,10 @@
         Command::Compare(compare) => compare.run(),
         Command::Demo(demo) => demo.run(),
         Command::Latency(latency) => latency.run(),
+        Command::Overload(overload) => {
+            overload.run();
+            Ok(())
+        }
         Command::Run(run) => run.run(),
     };
     match result {
