rate: unchanged accounts skipped, asks counted by account

A change of one account derived the split of all anew, and a request without a token counted the asks of all accounts. An account that the tables dropped is forgotten only when nothing of it is lent any more.

--- a/lib/src/rate.rs
+++ b/lib/src/rate.rs
@@ -35,7 +35,7 @@
         time::Instant,
         unit::{Rate, Revision, Tokens},
     },
-    account::{Account, Sold},
+    account::Account,
     asks::Asks,
     lender::Context,
     message::Sequence,
@@ -91,6 +91,7 @@
     view: View,
     started: Option<Instant>,
     revision: Revision,
+    places: split::Places,
     accounts: BTreeMap<id::Account, Account>,
     asks: Asks,
     sequence: Sequence,
@@ -115,6 +116,7 @@
             view: View { data_centre: Some(data_centre), ..View::default() },
             started: None,
             revision: Revision::default(),
+            places: split::Places::new(),
             accounts: BTreeMap::new(),
             asks: Asks::default(),
             sequence: 0,
@@ -142,22 +144,37 @@
         self.started.get_or_insert(now);
         self.revision = set.revision();
         let places = split::places(set);
+        let is_moved = places != self.places;
+        self.places = places;
         for (name, sold) in set.accounts() {
-            let split = Arc::new(Split::new(&self.settings, sold, &places));
-            let sold = Sold { rate: sold.rate, burst: sold.burst };
-            self.replace(now, name, split, Some(sold));
+            let known = self.accounts.get(name).and_then(|state| state.sold.as_ref());
+            if is_moved || known != Some(sold) {
+                let split = Arc::new(Split::new(&self.settings, sold, &self.places));
+                self.replace(now, name, split, Some(sold.clone()));
+            }
         }
         let is_gone = |name: &&id::Account| !set.accounts().contains_key(*name);
         let gone: Vec<_> = self.accounts.keys().filter(is_gone).cloned().collect();
         for name in &gone {
             self.replace(now, name, Arc::new(Split::default()), None);
         }
+        // What is still lent must not be forgotten.
+        let is_over =
+            |state: &Account| state.sold.is_none() && state.lender.committed() == Share::NONE;
         for name in gone.iter().skip(MAX_GONE) {
-            self.accounts.remove(name);
+            if self.accounts.get(name).is_some_and(is_over) {
+                self.accounts.remove(name);
+            }
         }
     }
 
-    fn replace(&mut self, now: Instant, name: &id::Account, split: Arc<Split>, sold: Option<Sold>) {
+    fn replace(
+        &mut self,
+        now: Instant,
+        name: &id::Account,
+        split: Arc<Split>,
+        sold: Option<Arc<table::Account>>,
+    ) {
         let nonce = self.sequence + 1;
         if !self.accounts.contains_key(name) {
             let account = Account::new(now, &self.me, split.clone(), self.revision, nonce);
@@ -318,7 +335,7 @@
     /// Returns what the RateLimit fields of an answer to a caller say, if the account is sold.
     pub fn limit(&self, account: &id::Account) -> Option<Limit> {
         let state = self.accounts.get(account)?;
-        let sold = state.sold?;
+        let sold = state.sold.as_ref()?;
         let remaining = state.level().0 / Tokens::ONE.0;
         Some(Limit { rate: sold.rate, burst: sold.burst, remaining })
     }
--- a/lib/src/rate/account.rs
+++ b/lib/src/rate/account.rs
@@ -11,9 +11,9 @@
         standing::Standing,
     },
     crate::{
-        id,
+        id, table,
         time::Instant,
-        unit::{Rate, Revision, Tokens},
+        unit::{Revision, Tokens},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct Account {
     /// What the tables say, or nothing where they do not name the account.
-    pub sold: Option<Sold>,
+    pub sold: Option<Arc<table::Account>>,
     /// Which splits others may keep to.
     pub standing: Standing,
     /// What this node mints and lends.
@@ -52,15 +52,6 @@
 /// How many asks may be under way until the first denial.
 const FIRST_WINDOW: usize = 16;
 
-/// What an account has bought.
-#[derive(Clone, Copy, Debug)]
-pub struct Sold {
-    /// Requests a second.
-    pub rate: Rate,
-    /// Requests at once.
-    pub burst: u32,
-}
-
 /// What a node knows of other nodes. It may be wrong, so only the placement of tokens depends on it.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -107,9 +98,9 @@
     pub fn sort(&mut self, account: &id::Account, me: &id::Vm, view: &View) {
         let split = self.standing.current();
         let mut order: Vec<_> = split.minters.iter().filter(|(vm, _)| *vm != me).collect();
-        order.sort_by_key(|(vm, minter)| {
+        order.sort_by_cached_key(|(vm, minter)| {
             let is_far = view.data_centre.as_ref() != Some(&minter.data_centre);
-            let weight = split::weight(account, vm, me.as_str());
+            let weight = split::weight(account, vm.as_str(), me.as_str());
             (view.absent.contains(*vm), is_far, std::cmp::Reverse(weight))
         });
         self.order = order.into_iter().map(|(vm, _)| vm.clone()).collect();
@@ -156,7 +147,7 @@
     /// Returns how long a caller should wait before it tries again.
     pub fn retry_after(&self) -> Duration {
         const LONGEST: Duration = Duration::from_secs(1);
-        let rate = self.sold.map_or(0, |sold| sold.rate.0);
+        let rate = self.sold.as_ref().map_or(0, |sold| sold.rate.0);
         LONGEST.checked_div(u32::try_from(rate).unwrap_or(u32::MAX)).unwrap_or(LONGEST)
     }
 
@@ -242,7 +233,7 @@
     /// unevenness of arrivals, so that single tokens serve better than a loan.
     fn is_ask_cheaper(&self, demand: Tokens) -> bool {
         const LEAST_LENT: u64 = 6;
-        let Some(sold) = self.sold else { return true };
+        let Some(sold) = &self.sold else { return true };
         let part = u128::from(demand.0) * u128::from(sold.burst);
         part < u128::from(Tokens::whole(LEAST_LENT).0) * u128::from(sold.rate.0)
     }
--- a/lib/src/rate/asks.rs
+++ b/lib/src/rate/asks.rs
@@ -3,7 +3,10 @@
 use {
     super::message::Sequence,
     crate::{id, time::Instant},
-    std::{collections::BTreeMap, fmt},
+    std::{
+        collections::{BTreeMap, HashMap},
+        fmt,
+    },
 };
 
 /// Identifies a request that waits for a token.
@@ -37,17 +40,28 @@
 #[derive(Debug, Default)]
 pub struct Asks {
     waiting: BTreeMap<Sequence, Ask>,
+    counts: HashMap<id::Account, usize>,
 }
 
 impl Asks {
     /// Adds an ask.
     pub fn insert(&mut self, nonce: Sequence, ask: Ask) {
+        *self.counts.entry(ask.account.clone()).or_default() += 1;
         self.waiting.insert(nonce, ask);
     }
 
     /// Returns the number of asks under way for an account.
     pub fn count(&self, account: &id::Account) -> usize {
-        self.waiting.values().filter(|ask| ask.account == *account).count()
+        self.counts.get(account).copied().unwrap_or(0)
+    }
+
+    fn forget(&mut self, account: &id::Account) {
+        if let Some(count) = self.counts.get_mut(account) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(account);
+            }
+        }
     }
 
     /// Takes the ask out that an answer from a VM belongs to.
@@ -55,17 +69,24 @@
         if self.waiting.get(&nonce)?.asked != *from {
             return None;
         }
-        self.waiting.remove(&nonce)
+        let ask = self.waiting.remove(&nonce)?;
+        self.forget(&ask.account);
+        Some(ask)
     }
 
     /// Takes the asks out that no answer can serve any more.
     pub fn expired(&mut self, now: Instant) -> Vec<Ask> {
         let is_over = |_: &Sequence, ask: &mut Ask| now >= ask.until;
-        self.waiting.extract_if(.., is_over).map(|(_, ask)| ask).collect()
+        let over: Vec<Ask> = self.waiting.extract_if(.., is_over).map(|(_, ask)| ask).collect();
+        for ask in &over {
+            self.forget(&ask.account);
+        }
+        over
     }
 
     /// Takes out all asks.
     pub fn take_all(&mut self) -> Vec<Ask> {
+        self.counts.clear();
         std::mem::take(&mut self.waiting).into_values().collect()
     }
 }
--- a/lib/src/rate/split.rs
+++ b/lib/src/rate/split.rs
@@ -112,10 +112,10 @@
     places
 }
 
-/// Returns the rendezvous weight of a VM for an account. The VM with the largest goes first.
-pub fn weight(account: &id::Account, vm: &id::Vm, salt: &str) -> u64 {
+/// Returns the rendezvous weight of a VM or data centre for an account. The largest goes first.
+pub fn weight(account: &id::Account, name: &str, salt: &str) -> u64 {
     let mut hasher = SipHasher13::new();
-    (account.as_str(), vm.as_str(), salt).hash(&mut hasher);
+    (account.as_str(), name, salt).hash(&mut hasher);
     hasher.finish()
 }
 
@@ -177,10 +177,9 @@
         .filter(|portion| portion.weight > 0 && !portion.vms.is_empty())
         .collect();
     let order = |portion: &Portion<'_>| {
-        let hash = portion.vms.iter().map(|vm| weight(&account.name, vm, "")).max();
-        (portion.weight, hash)
+        (portion.weight, weight(&account.name, portion.data_centre.as_str(), ""))
     };
-    portions.sort_by_key(|portion| std::cmp::Reverse(order(portion)));
+    portions.sort_by_cached_key(|portion| std::cmp::Reverse(order(portion)));
     while portions.len() > 1 && !is_enough(settings, account, &portions) {
         portions.pop();
     }
@@ -206,7 +205,7 @@
     let by_cap = share.cap.0 / Tokens::whole(settings.least_cap.max(1).into()).0;
     let count = by_size.min(usize::try_from(by_cap).unwrap_or(usize::MAX)).max(1);
     let mut vms = vms.to_vec();
-    vms.sort_by_key(|vm| std::cmp::Reverse(weight(&account.name, vm, "")));
+    vms.sort_by_cached_key(|vm| std::cmp::Reverse(weight(&account.name, vm.as_str(), "")));
     vms.truncate(count);
     vms
 }
