settings: address at which peers reach a node

A node announced the address that it had bound, so peers went past whatever stood before its listener. peers_address names another address to announce.

--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -105,7 +105,8 @@
         secret: settings.secret.clone(),
         body_bytes: bounds.body_bytes,
     };
-    let node = Node::new(clock::now(), &settings, peers_address, incarnation, rand::random());
+    let announced = settings.peers_address.unwrap_or(peers_address);
+    let node = Node::new(clock::now(), &settings, announced, incarnation, rand::random());
     let (exit, exited) = oneshot::channel();
     let machine = Machine::new(
         node,
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -141,6 +141,10 @@
     pub data_centre: id::DataCentre,
     /// The addresses that the process listens on.
     pub listen: Listen,
+    /// Where peers reach this process, when that is not `listen.peers`, as behind a translation of
+    /// addresses.
+    #[serde(default)]
+    pub peers_address: Option<SocketAddr>,
     /// The address of the target on this VM.
     pub target: SocketAddr,
     /// The address of the platform's configuration service.
