testutils: links told apart by the node that opens them

Peers learn a node's address from the node itself, so proxies named only by the platform's list were passed by and the partition tests cut nothing. One proxy now stands before each node, which announces it, and tells connections apart by the name in their first message.

--- a/daemon/tests/partition.rs
+++ b/daemon/tests/partition.rs
@@ -43,9 +43,11 @@
         settle(&audit, &key, address, "before").await;
     }
     fleet.partition(&["dc-1"]);
+    let across = || fleet.proxies().map(|proxy| proxy.counts().held).sum::<u64>();
     for address in fleet.all_callers() {
         settle(&audit, &key, address, "apart").await;
     }
+    assert!(across() > 0, "no link was cut");
     fleet.heal();
     for address in fleet.all_callers() {
         settle(&audit, &key, address, "healed").await;
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A small fleet of real nodes with stand-ins around them.
 //!
-//! Every data centre has a platform of its own, so that it can be cut off from the platform, and so
-//! that links to other data centres can go through proxies.
+//! Every data centre has a platform of its own, so that it can be cut off from the platform. Where the
+//! description asks for them, a proxy stands before each node's listener for peers.
 
 mod description;
 mod size;
@@ -16,11 +16,11 @@
         client::{Client, Request, Verdict},
         platform::{self, Changes, Phase, Platform, Vms},
         process::{self, Listen, Log, Node},
-        proxy::{Mode, Proxy},
+        proxy::{self, Mode, Proxy},
         target::{Run, Target},
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         io,
         net::{Ipv4Addr, SocketAddr},
         time::{Duration, Instant},
@@ -65,6 +65,8 @@
     /// What the platform says of the VM.
     pub phase: Phase,
     settings: process::Settings,
+    /// What stands before the node's listener for peers, if anything.
+    proxy: Option<Proxy>,
 }
 
 /// One run and where it was.
@@ -76,21 +78,12 @@
     pub run: Run,
 }
 
-#[derive(Debug)]
-struct Link {
-    from: String,
-    to: String,
-    proxy: Proxy,
-}
-
 /// A running fleet. All its processes end when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
     description: Description,
     platforms: BTreeMap<String, Platform>,
     vms: Vec<Vm>,
-    /// The links from one data centre to the VM of another.
-    links: BTreeMap<(String, String), Link>,
 }
 
 impl Fleet {
@@ -121,10 +114,9 @@
         let mut vms = Vec::new();
         for (place, seed) in description.places().into_iter().zip(description.seed..) {
             let platform = platforms[&place.data_centre].address();
-            vms.push(start_vm(&description, place, platform, seed)?);
+            vms.push(start_vm(&description, place, platform, seed).await?);
         }
-        let mut fleet = Self { description, platforms, vms, links: BTreeMap::new() };
-        fleet.link().await?;
+        let fleet = Self { description, platforms, vms };
         fleet.publish_vms();
         Ok(fleet)
     }
@@ -247,7 +239,8 @@
         self.publish_vms();
     }
 
-    /// Kills the node of a VM and starts a new one in its place, at another address.
+    /// Kills the node of a VM and starts a new one in its place, at another address unless peers
+    /// reach it through a proxy.
     ///
     /// # Errors
     ///
@@ -257,32 +250,48 @@
         replaced.node.kill()?;
         replaced.node = Node::start(&replaced.settings)?;
         replaced.target.set_egress(replaced.node.listen().egress);
-        self.links.retain(|(_, to), _| to != vm);
-        self.link().await?;
+        if let Some(proxy) = &replaced.proxy {
+            proxy.set_upstream(replaced.node.listen().peers);
+        }
         self.publish_vms();
         Ok(())
     }
 
     /// Cuts the given data centres off from all others. Bytes wait until [`Fleet::heal`].
+    ///
+    /// Only nodes of a description with proxies are cut off.
     pub fn partition(&self, data_centres: &[&str]) {
-        let group: BTreeSet<&str> = data_centres.iter().copied().collect();
-        for link in self.links.values() {
-            if group.contains(link.from.as_str()) != group.contains(link.to.as_str()) {
-                link.proxy.set_mode(Mode::Freeze);
+        let is_within = |vm: &Vm| data_centres.contains(&vm.place.data_centre.as_str());
+        let faults = proxy::Faults { mode: Mode::Freeze, ..proxy::Faults::default() };
+        self.set_faults_between(faults, |from, to| is_within(from) != is_within(to));
+    }
+
+    /// Sets what is wrong with all links between data centres.
+    pub fn set_link_faults(&self, faults: proxy::Faults) {
+        let is_far = |from: &Vm, to: &Vm| from.place.data_centre != to.place.data_centre;
+        self.set_faults_between(faults, is_far);
+    }
+
+    fn set_faults_between(&self, faults: proxy::Faults, is_meant: impl Fn(&Vm, &Vm) -> bool) {
+        for to in &self.vms {
+            let from = self.vms.iter().filter(|from| is_meant(from, to));
+            let names: Vec<_> = from.map(|from| from.place.vm.clone()).collect();
+            if let Some(proxy) = to.proxy.as_ref().filter(|_| !names.is_empty()) {
+                proxy.set_faults_from(names, faults);
             }
         }
     }
 
     /// Mends all links.
     pub fn heal(&self) {
-        for link in self.links.values() {
-            link.proxy.heal();
+        for proxy in self.proxies() {
+            proxy.heal();
         }
     }
 
-    /// Returns the proxies between data centres.
+    /// Returns the proxies before the nodes' listeners for peers.
     pub fn proxies(&self) -> impl Iterator<Item = &Proxy> {
-        self.links.values().map(|link| &link.proxy)
+        self.vms.iter().filter_map(|vm| vm.proxy.as_ref())
     }
 
     /// Returns all remembered runs of all targets.
@@ -294,43 +303,21 @@
         self.vms.iter().flat_map(found).collect()
     }
 
-    async fn link(&mut self) -> Result<(), Error> {
-        if !self.description.has_proxies {
-            return Ok(());
-        }
-        for from in &self.description.data_centres {
-            for vm in self.vms.iter().filter(|vm| vm.place.data_centre != *from) {
-                let key = (from.clone(), vm.place.vm.clone());
-                if self.links.contains_key(&key) {
-                    continue;
-                }
-                let seed = self.description.seed + self.links.len() as u64;
-                let proxy = Proxy::start(vm.node.listen().peers, seed).await?;
-                let to = vm.place.data_centre.clone();
-                self.links.insert(key, Link { from: from.clone(), to, proxy });
-            }
-        }
-        Ok(())
-    }
-
     fn publish_vms(&self) {
-        for (data_centre, platform) in &self.platforms {
-            let line = |vm: &Vm| {
-                let link = self.links.get(&(data_centre.clone(), vm.place.vm.clone()));
-                let direct = vm.node.listen().peers;
-                platform::Vm {
-                    vm: vm.place.vm.clone(),
-                    data_centre: vm.place.data_centre.clone(),
-                    address: link.map_or(direct, |link| link.proxy.address()),
-                    state: vm.phase,
-                }
-            };
-            platform.set_vms(Vms { vms: self.vms.iter().map(line).collect() });
+        let line = |vm: &Vm| platform::Vm {
+            vm: vm.place.vm.clone(),
+            data_centre: vm.place.data_centre.clone(),
+            address: vm.proxy.as_ref().map_or(vm.node.listen().peers, Proxy::address),
+            state: vm.phase,
+        };
+        let vms = Vms { vms: self.vms.iter().map(line).collect() };
+        for platform in self.platforms() {
+            platform.set_vms(vms.clone());
         }
     }
 }
 
-fn start_vm(
+async fn start_vm(
     description: &Description,
     place: Place,
     platform: SocketAddr,
@@ -338,10 +325,15 @@
 ) -> Result<Vm, Error> {
     let target_settings = description.target_settings(&place, seed).unwrap_or_default();
     let target = Target::start(target_settings)?;
+    let proxy = match description.has_proxies {
+        true => Some(start_proxy(description, seed).await?),
+        false => None,
+    };
     let settings = process::Settings {
         vm: place.vm.clone(),
         data_centre: place.data_centre.clone(),
         listen: Listen::default(),
+        peers_address: proxy.as_ref().map(Proxy::address),
         target: target.address(),
         platform,
         secret: format!("fleet-secret-{:032}", description.seed),
@@ -349,5 +341,15 @@
     };
     let node = Node::start(&settings)?;
     target.set_egress(node.listen().egress);
-    Ok(Vm { place, node, target, phase: Phase::Live, settings })
+    if let Some(proxy) = &proxy {
+        proxy.set_upstream(node.listen().peers);
+    }
+    Ok(Vm { place, node, target, phase: Phase::Live, settings, proxy })
+}
+
+async fn start_proxy(description: &Description, seed: u64) -> Result<Proxy, Error> {
+    let unset = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let proxy = Proxy::start(unset, seed).await?;
+    proxy.set_names(description.places().into_iter().map(|place| place.vm).collect());
+    Ok(proxy)
 }
--- a/testutils/src/fleet/description.rs
+++ b/testutils/src/fleet/description.rs
@@ -176,7 +176,7 @@
     pub accounts: Vec<Account>,
     /// The seed of all stand-ins and of the accounts' keys.
     pub seed: u64,
-    /// Whether links between data centres go through proxies.
+    /// Whether a proxy stands before each node's listener for peers.
     pub has_proxies: bool,
 }
 
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -89,6 +89,9 @@
     pub data_centre: String,
     /// The listeners, where port 0 lets the system choose.
     pub listen: Listen,
+    /// Where peers reach the node, if not at its own listener.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peers_address: Option<SocketAddr>,
     /// The target on the same VM.
     pub target: SocketAddr,
     /// The platform.
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -7,7 +7,7 @@
         io,
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -50,17 +50,41 @@
     pub bytes_per_second: Option<u64>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Control {
+    upstream: SocketAddr,
     faults: Faults,
+    /// The names of all nodes that may introduce themselves.
+    names: Vec<String>,
+    /// The names of the sources whose connections have the faults, or none for all connections.
+    from: Vec<String>,
     /// Connections of an earlier epoch are cut.
     epoch: u64,
 }
 
+impl Control {
+    fn faults(&self, source: &Source) -> Faults {
+        let is_meant = |name: &String| source.get() == Some(name);
+        if self.from.is_empty() || self.from.iter().any(is_meant) {
+            self.faults
+        } else {
+            Faults::default()
+        }
+    }
+
+    fn is_open(&self, source: &Source) -> bool {
+        self.faults(source).mode != Mode::Freeze
+    }
+}
+
+/// The name with which a connection's own first bytes introduce it, once they passed.
+type Source = Arc<OnceLock<String>>;
+
 /// Bytes that passed, by direction.
 #[derive(Debug, Default)]
 struct Meter {
     connections: AtomicU64,
+    held: AtomicU64,
     to_upstream: AtomicU64,
     from_upstream: AtomicU64,
 }
@@ -70,6 +94,8 @@
 pub struct Counts {
     /// Accepted connections.
     pub connections: u64,
+    /// Times at which a connection waited for the end of a freeze.
+    pub held: u64,
     /// Bytes towards the upstream.
     pub to_upstream: u64,
     /// Bytes from the upstream.
@@ -94,9 +120,11 @@
     pub async fn start(upstream: SocketAddr, seed: u64) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let control = watch::Sender::new(Control::default());
+        let faults = Faults::default();
+        let control = Control { upstream, faults, names: Vec::new(), from: Vec::new(), epoch: 0 };
+        let control = watch::Sender::new(control);
         let meter = Arc::new(Meter::default());
-        let accept = accept(listener, upstream, seed, control.subscribe(), meter.clone());
+        let accept = accept(listener, seed, control.subscribe(), meter.clone());
         let task = tokio::spawn(accept);
         Ok(Self { address, control, meter, task })
     }
@@ -106,9 +134,29 @@
         self.address
     }
 
+    /// Passes new connections on to another upstream.
+    pub fn set_upstream(&self, upstream: SocketAddr) {
+        self.control.send_modify(|control| control.upstream = upstream);
+    }
+
+    /// Sets the names by which nodes introduce themselves at the start of a connection.
+    pub fn set_names(&self, names: Vec<String>) {
+        self.control.send_modify(|control| control.names = names);
+    }
+
     /// Sets what is wrong with the link, for open and new connections.
     pub fn set_faults(&self, faults: Faults) {
-        self.control.send_modify(|control| control.faults = faults);
+        self.set_faults_from(Vec::new(), faults);
+    }
+
+    /// Sets what is wrong for connections that come from the named nodes.
+    ///
+    /// A connection counts as theirs from the bytes on in which it introduces itself.
+    pub fn set_faults_from(&self, from: Vec<String>, faults: Faults) {
+        self.control.send_modify(|control| {
+            control.faults = faults;
+            control.from = from;
+        });
     }
 
     /// Sets how bytes are treated, and mends all else.
@@ -130,6 +178,7 @@
     pub fn counts(&self) -> Counts {
         Counts {
             connections: self.meter.connections.load(Ordering::Relaxed),
+            held: self.meter.held.load(Ordering::Relaxed),
             to_upstream: self.meter.to_upstream.load(Ordering::Relaxed),
             from_upstream: self.meter.from_upstream.load(Ordering::Relaxed),
         }
@@ -144,7 +193,6 @@
 
 async fn accept(
     listener: TcpListener,
-    upstream: SocketAddr,
     seed: u64,
     control: watch::Receiver<Control>,
     meter: Arc<Meter>,
@@ -157,8 +205,9 @@
         number += 1;
         meter.connections.fetch_add(1, Ordering::Relaxed);
         let random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
-        let link = Link { control: control.clone(), meter: meter.clone(), random };
-        connections.spawn(link.connect(near, upstream));
+        let source = Source::default();
+        let link = Link { control: control.clone(), meter: meter.clone(), random, source };
+        connections.spawn(link.connect(near));
     }
 }
 
@@ -167,23 +216,24 @@
     control: watch::Receiver<Control>,
     meter: Arc<Meter>,
     random: ChaCha8Rng,
+    source: Source,
 }
 
 impl Link {
-    async fn connect(mut self, near: TcpStream, upstream: SocketAddr) {
+    async fn connect(mut self, near: TcpStream) {
         let epoch = self.control.borrow().epoch;
         let mut cut = self.control.clone();
-        let is_cut = move |c: &Control| c.epoch != epoch || c.faults.mode == Mode::Refuse;
+        let source = self.source.clone();
+        let is_cut = move |c: &Control| c.epoch != epoch || c.faults(&source).mode == Mode::Refuse;
         tokio::select! {
             _ = cut.wait_for(is_cut) => {}
-            _ = self.carry(near, upstream) => {}
+            _ = self.carry(near) => {}
         }
     }
 
-    async fn carry(&mut self, near: TcpStream, upstream: SocketAddr) -> io::Result<()> {
-        let is_open = |control: &Control| control.faults.mode != Mode::Freeze;
-        // The sender lives as long as the proxy, which ends this task when it is dropped.
-        let _ = self.control.wait_for(is_open).await;
+    async fn carry(&mut self, near: TcpStream) -> io::Result<()> {
+        thawed(&mut self.control, &self.source, &self.meter).await;
+        let upstream = self.control.borrow().upstream;
         let far = TcpStream::connect(upstream).await?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
@@ -198,7 +248,8 @@
     fn direction(&mut self, way: Way) -> Direction {
         let random = ChaCha8Rng::seed_from_u64(self.random.random());
         let meter = self.meter.clone();
-        Direction { way, control: self.control.clone(), meter, random, passed: 0 }
+        let source = self.source.clone();
+        Direction { way, control: self.control.clone(), meter, random, source, passed: 0 }
     }
 }
 
@@ -219,18 +270,20 @@
     control: watch::Receiver<Control>,
     meter: Arc<Meter>,
     random: ChaCha8Rng,
+    source: Source,
     passed: u64,
 }
 
 impl Direction {
     async fn run(self, from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf) -> io::Result<()> {
         const MAX_PIECES: usize = 256;
-        let control = self.control.clone();
+        let (mut control, source) = (self.control.clone(), self.source.clone());
+        let meter = self.meter.clone();
         let (sender, mut receiver) = mpsc::channel::<Piece>(MAX_PIECES);
         let write = async {
             while let Some(piece) = receiver.recv().await {
                 tokio::time::sleep_until(piece.due).await;
-                thawed(&mut control.clone()).await;
+                thawed(&mut control, &source, &meter).await;
                 to.write_all(&piece.bytes).await?;
             }
             to.shutdown().await
@@ -249,16 +302,17 @@
         let mut due = Instant::now();
         let mut is_lossy = false;
         loop {
-            thawed(&mut self.control).await;
+            thawed(&mut self.control, &self.source, &self.meter).await;
             from.readable().await?;
-            if self.control.borrow().faults.mode == Mode::Freeze {
+            let faults = self.control.borrow().faults(&self.source);
+            if faults.mode == Mode::Freeze {
                 continue;
             }
-            let faults = self.control.borrow().faults;
             let count = from.read(&mut buffer[..piece_bytes(&faults, PIECE_BYTES)]).await?;
             if count == 0 {
                 return Ok(());
             }
+            self.identify(&buffer[..count]);
             if faults.mode == Mode::Blackhole {
                 is_lossy = true;
                 continue;
@@ -281,6 +335,22 @@
         }
     }
 
+    /// Looks for the name with which a node introduces itself.
+    fn identify(&self, bytes: &[u8]) {
+        if self.way != Way::ToUpstream || self.source.get().is_some() {
+            return;
+        }
+        let control = self.control.borrow();
+        let is_named = |name: &&String| {
+            let text = format!("{name}\0");
+            bytes.windows(text.len()).any(|window| window == text.as_bytes())
+        };
+        if let Some(name) = control.names.iter().find(is_named) {
+            // Only this direction sets the name.
+            let _ = self.source.set(name.clone());
+        }
+    }
+
     /// Counts the bytes and tells how many pass and whether the connection is cut after them.
     fn keep(&mut self, count: u64, faults: &Faults) -> (usize, bool) {
         let left = match (self.way, faults.cut_after) {
@@ -306,9 +376,13 @@
 /// The time in which the last bytes before a cut are written.
 const CUT_PAUSE: Duration = Duration::from_millis(20);
 
-async fn thawed(control: &mut watch::Receiver<Control>) {
+async fn thawed(control: &mut watch::Receiver<Control>, source: &Source, meter: &Meter) {
+    if control.borrow().is_open(source) {
+        return;
+    }
+    meter.held.fetch_add(1, Ordering::Relaxed);
     // The sender lives as long as the proxy, which ends this task when it is dropped.
-    let _ = control.wait_for(|control| control.faults.mode != Mode::Freeze).await;
+    let _ = control.wait_for(|control| control.is_open(source)).await;
 }
 
 fn piece_bytes(faults: &Faults, most: usize) -> usize {
