config: pages of two peers, and silence that passed for lies

A page from a peer that knows less than the one before could hide a value that changed in between, so the stage now starts again. A peer that was cut off was muted for a minute after five timeouts; now it must only claim again.

--- a/lib/src/config/claim.rs
+++ b/lib/src/config/claim.rs
@@ -10,7 +10,10 @@
 };
 
 /// How often in a row a peer may fail to give what it claims to have.
-const MAX_STRIKES: u8 = 5;
+const MAX_STRIKES: u8 = 8;
+/// After so many failures in a row the peer must claim again to be asked again, so that a peer that
+/// is cut off is not counted as one that lies.
+const STRIKES_TO_FORGET: u8 = 2;
 /// The most peers whose claims are kept.
 const MAX_PEERS: usize = 4_096;
 
@@ -61,6 +64,9 @@
         claim.strikes += 1;
         if claim.strikes >= MAX_STRIKES {
             *claim = Claim { muted_until: Some(now + mute), ..Claim::default() };
+        } else if claim.strikes >= STRIKES_TO_FORGET {
+            claim.complete = Revision(0);
+            claim.accepted = Revision(0);
         }
         self.rest(vm);
     }
--- a/lib/src/config/fetch.rs
+++ b/lib/src/config/fetch.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Message, Store,
-        stage::Stage,
+        claim::Claim,
+        stage::{PageError, Stage},
         valid::Validator,
         wire::{Cursor, Page, Part},
     },
@@ -60,7 +61,7 @@
             return;
         }
         let known = self.latest.revision();
-        if let Some(peer) = self.claims.pick(&mut self.rng, |claim| claim.complete > known) {
+        if let Some(peer) = self.pick(Part::Latest, known) {
             if self.stage.as_ref().is_none_or(|stage| stage.of != Part::Latest) {
                 self.stage = Some(Stage::difference(known));
             }
@@ -69,7 +70,7 @@
         let accepted = self.accepted_revision();
         // While the latest values do not validate, a peer may have a later set in force.
         if accepted < known
-            && let Some(peer) = self.claims.pick(&mut self.rng, |claim| claim.accepted > accepted)
+            && let Some(peer) = self.pick(Part::Accepted, accepted)
         {
             let is_other = self.stage.as_ref().is_none_or(|stage| stage.of != Part::Accepted);
             if is_other {
@@ -79,6 +80,19 @@
         }
     }
 
+    /// Returns a peer that knows more, if there is one, and rather one that can go on with the stage.
+    fn pick(&mut self, of: Part, known: Revision) -> Option<id::Vm> {
+        let claimed = |claim: &Claim| match of {
+            Part::Latest => claim.complete,
+            Part::Accepted => claim.accepted,
+        };
+        let staged = self.stage.as_ref().filter(|stage| stage.of == of);
+        let staged = staged.map_or(Revision(0), |stage| stage.revision);
+        let goes_on = |claim: &Claim| claimed(claim) > known && claimed(claim) >= staged;
+        let best = self.claims.pick(&mut self.rng, goes_on);
+        best.or_else(|| self.claims.pick(&mut self.rng, |claim| claimed(claim) > known))
+    }
+
     fn fetch_from(&mut self, now: Instant, peer: id::Vm) {
         let Some(stage) = &self.stage else { return };
         let (of, base, from) = (stage.of, stage.base, stage.from.clone());
@@ -139,6 +153,8 @@
         let (of, last, revision) = (stage.of, page.last, page.revision);
         let has_pieces = !page.pieces.is_empty();
         match stage.take(page) {
+            // The sender is at no fault, so the stage starts again.
+            Err(PageError::Behind) => self.stage = None,
             Err(error) => {
                 self.page_errors += 1;
                 self.last_page_error = Some(error);
--- a/lib/src/config/stage.rs
+++ b/lib/src/config/stage.rs
@@ -32,6 +32,9 @@
     /// The revision is so far ahead that the platform can't have got there.
     #[error("the revision is more than {MAX_AHEAD} ahead")]
     Ahead,
+    /// The sender knows less than the sender of the page before.
+    #[error("the sender knows less than the sender of the page before")]
+    Behind,
     /// The last page ends inside a value.
     #[error("the last page ends inside a value")]
     Unfinished,
@@ -52,6 +55,9 @@
     pub base: Revision,
     pub from: Cursor,
     known: Revision,
+    /// The highest revision of a page. A sender that knows less can't go on from there, because a
+    /// value that changed in between is in neither part.
+    pub revision: Revision,
     is_whole: bool,
     entries: BTreeMap<Name, Entry>,
     partial: Option<Partial>,
@@ -72,7 +78,17 @@
 
     fn new(of: Part, known: Revision, base: Revision, from: Cursor, is_whole: bool) -> Self {
         let entries = BTreeMap::new();
-        Self { of, base, from, known, is_whole, entries, partial: None, bytes: 0 }
+        Self {
+            of,
+            base,
+            from,
+            known,
+            revision: Revision(0),
+            is_whole,
+            entries,
+            partial: None,
+            bytes: 0,
+        }
     }
 
     /// Takes a page in and returns the change when it is whole.
@@ -84,6 +100,10 @@
         if page.reset {
             *self = Self::new(self.of, self.known, page.base, Cursor::default(), true);
         }
+        if page.revision < self.revision {
+            return Err(PageError::Behind);
+        }
+        self.revision = page.revision;
         for piece in page.pieces {
             if piece.revision > page.revision {
                 return Err(PageError::Order);
--- a/lib/tests/config_faults.rs
+++ b/lib/tests/config_faults.rs
@@ -314,6 +314,41 @@
     }
 }
 
+/// Schedules that once failed.
+#[test]
+fn found_schedules() {
+    // A restarted node put pages of two peers at different revisions together.
+    run(&Schedule {
+        nodes: 11,
+        data_centres: 2,
+        seed: 17338704111196421149,
+        loss: 0.08232707135869635,
+        duplicates: 0.03146137513494151,
+        delay_ms: 172,
+        faults: vec![(16, Fault::Restart { node: 1 }), (90, Fault::Grant { key: 7 })],
+    });
+    // A node that was cut off took silence for lies and did not ask after the heal.
+    run(&Schedule {
+        nodes: 3,
+        data_centres: 2,
+        seed: 11862761869616075036,
+        loss: 0.07598644091530835,
+        duplicates: 0.008343269506246134,
+        delay_ms: 179,
+        faults: vec![
+            (55, Fault::CutCentre { number: 2 }),
+            (0, Fault::Join),
+            (1_535, Fault::Limit { reads: 1 }),
+            (237, Fault::Good),
+            (2_843, Fault::Grant { key: 6 }),
+            (2_789, Fault::Bad),
+            (1_802, Fault::Restart { node: 6 }),
+            (3_770, Fault::Cut { sides: 48_689 }),
+            (712, Fault::Quiet),
+        ],
+    });
+}
+
 /// The generated schedules do reach the conditional checks.
 #[test]
 fn checks_reached() {
--- a/lib/tests/config_hostile.rs
+++ b/lib/tests/config_hostile.rs
@@ -118,6 +118,34 @@
     assert_eq!(refusal(page(3, vec![])), None);
 }
 
+/// Two senders at different revisions give no whole, because a value can have moved in between.
+#[test]
+fn moved_value() {
+    let (mut store, peer, mut live) = store();
+    let other: id::Vm = "other".parse().expect("a good name");
+    live.push(Peer { vm: other.clone(), ..live[0].clone() });
+    let now = Instant::from_millis(10_000);
+    let good = "{ name: a, rate: 1, burst: 1 }";
+    let first = Page { last: false, ..page(9, vec![piece("accounts/a", 8, good)]) };
+    store.tick(now, &live);
+    answer(&mut store, &peer, first);
+    store.receive(now, &other, Message::Notice { complete: Revision(8) });
+    for seconds in 1..20 {
+        let now = now + seconds * SECOND;
+        let actions = store.tick(now, &live);
+        let nonce = actions.iter().find_map(|action| match action {
+            Action::Send(to, Message::Fetch { nonce, .. }) if *to == other => Some(*nonce),
+            _ => None,
+        });
+        if let Some(nonce) = nonce {
+            store.receive(now, &other, Message::Page { nonce, page: page(8, vec![]) });
+            assert_eq!(store.known(), Revision(5), "half a change is taken for a whole");
+            return;
+        }
+    }
+    panic!("the store never asks the other peer");
+}
+
 #[test]
 fn impossible_name() {
     let (mut store, peer, _) = store();
