--- a/lib/src/config/settings.rs
+++ b/lib/src/config/settings.rs
@@ -75,10 +75,10 @@
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
     /// A setting is zero.
-    #[error("configuration.{0} is 0; set it to 1 or more")]
+    #[error("node.config.{0} is 0; set it to 1 or more")]
     Zero(&'static str),
     /// A key would be refused between two confirmations in the ordinary course.
-    #[error("configuration.max_key_age_ms must be at least four times configuration.watch_wait_ms")]
+    #[error("node.config.max_key_age_ms must be at least four times node.config.watch_wait_ms")]
     KeyAge,
 }
 
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -11,6 +11,7 @@
 mod receive;
 mod rumour;
 mod settings;
+mod spread;
 mod sync;
 mod table;
 mod wire;
@@ -26,7 +27,7 @@
     crate::{id, time::Instant},
     cut::Cuts,
     probe::Prober,
-    rand::{SeedableRng, seq::IteratorRandom},
+    rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
@@ -272,6 +273,11 @@
         self.members.get(vm).map(|member| self.state(member))
     }
 
+    /// Tells whether messages of a VM are accepted: it is listed, published, or nobody is yet.
+    pub fn admits(&self, vm: &id::Vm) -> bool {
+        *vm != self.me && (self.members.contains_key(vm) || self.is_bootstrapping())
+    }
+
     /// Returns this node's own life.
     pub fn incarnation(&self) -> id::Incarnation {
         self.origin.fact.incarnation
@@ -344,55 +350,4 @@
         }
         self.changes.push_back(change);
     }
-
-    /// Puts a fact among the rumours and passes an urgent one on at once.
-    fn spread(&mut self, vm: &id::Vm, is_urgent: bool) {
-        self.queue.push(vm, is_urgent);
-        if !is_urgent {
-            return;
-        }
-        let most = self.settings.eager_peers.min(self.eager_left);
-        for to in self.random_peers(most, vm) {
-            self.eager_left -= 1;
-            self.send(&to, Body::News);
-        }
-    }
-
-    fn random_peers(&mut self, most: usize, except: &id::Vm) -> Vec<id::Vm> {
-        let reachable = self.members.iter().filter(|(vm, member)| {
-            *vm != except && self.cuts.is_open(&member.data_centre, member.fact.health)
-        });
-        reachable.map(|(vm, _)| vm.clone()).sample(&mut self.rng, most)
-    }
-
-    fn send(&mut self, to: &id::Vm, body: Body) {
-        let picked = self.queue.pick(self.settings.rumours, self.members.len());
-        let mut rumours: Vec<Rumour> = picked.iter().filter_map(|vm| self.rumour(vm)).collect();
-        // A doubted VM hears of it at first hand, so that it can refute.
-        let doubted = self.members.get(to).is_some_and(|m| m.fact.health != Health::Alive);
-        if doubted && !picked.contains(to) {
-            rumours.extend(self.rumour(to));
-        }
-        let doubts = self.cuts.names();
-        let message = Message { origin: self.origin.clone(), body, rumours, doubts };
-        self.out.push((to.clone(), message));
-    }
-
-    fn rumour(&self, vm: &id::Vm) -> Option<Rumour> {
-        let member = if *vm == self.me { None } else { Some(self.members.get(vm)?) };
-        Some(match member {
-            None => Rumour {
-                vm: vm.clone(),
-                data_centre: self.origin.data_centre.clone(),
-                address: Some(self.origin.address),
-                fact: self.origin.fact,
-            },
-            Some(member) => Rumour {
-                vm: vm.clone(),
-                data_centre: member.data_centre.clone(),
-                address: member.address,
-                fact: member.fact,
-            },
-        })
-    }
 }
--- a/lib/src/member/receive.rs
+++ b/lib/src/member/receive.rs
@@ -28,8 +28,7 @@
 
     fn admit(&mut self, now: Instant, from: &id::Vm, message: &Message) -> bool {
         let fact = &message.origin.fact;
-        let is_strange = !self.members.contains_key(from) && !self.is_bootstrapping();
-        if *from == self.me || is_strange || !self.is_plausible(now, fact) {
+        if !self.admits(from) || !self.is_plausible(now, fact) {
             self.strangers += 1;
             return false;
         }
--- a/lib/src/member/settings.rs
+++ b/lib/src/member/settings.rs
@@ -55,13 +55,13 @@
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
     /// A setting is zero.
-    #[error("membership.{0} is 0; set it to 1 or more")]
+    #[error("node.member.{0} is 0; set it to 1 or more")]
     Zero(&'static str),
     /// The direct answer would be awaited beyond the period.
-    #[error("membership.probe_timeout_ms must be less than membership.period_ms")]
+    #[error("node.member.probe_timeout_ms must be less than node.member.period_ms")]
     Timeout,
     /// The suspect could not refute.
-    #[error("membership.suspicion_ms must be at least twice membership.period_ms")]
+    #[error("node.member.suspicion_ms must be at least twice node.member.period_ms")]
     Suspicion,
 }
 
--- /dev/null
+++ b/lib/src/member/spread.rs
@@ -0,0 +1,60 @@
+//! How news leaves a node.
+
+use {
+    super::{Body, Health, Message, Rumour, View},
+    crate::id,
+    rand::seq::IteratorRandom,
+};
+
+impl View {
+    /// Puts a fact among the rumours and passes an urgent one on at once.
+    pub(super) fn spread(&mut self, vm: &id::Vm, is_urgent: bool) {
+        self.queue.push(vm, is_urgent);
+        if !is_urgent {
+            return;
+        }
+        let most = self.settings.eager_peers.min(self.eager_left);
+        for to in self.random_peers(most, vm) {
+            self.eager_left -= 1;
+            self.send(&to, Body::News);
+        }
+    }
+
+    pub(super) fn random_peers(&mut self, most: usize, except: &id::Vm) -> Vec<id::Vm> {
+        let reachable = self.members.iter().filter(|(vm, member)| {
+            *vm != except && self.cuts.is_open(&member.data_centre, member.fact.health)
+        });
+        reachable.map(|(vm, _)| vm.clone()).sample(&mut self.rng, most)
+    }
+
+    pub(super) fn send(&mut self, to: &id::Vm, body: Body) {
+        let picked = self.queue.pick(self.settings.rumours, self.members.len());
+        let mut rumours: Vec<Rumour> = picked.iter().filter_map(|vm| self.rumour(vm)).collect();
+        // A doubted VM hears of it at first hand, so that it can refute.
+        let doubted = self.members.get(to).is_some_and(|m| m.fact.health != Health::Alive);
+        if doubted && !picked.contains(to) {
+            rumours.extend(self.rumour(to));
+        }
+        let doubts = self.cuts.names();
+        let message = Message { origin: self.origin.clone(), body, rumours, doubts };
+        self.out.push((to.clone(), message));
+    }
+
+    pub(super) fn rumour(&self, vm: &id::Vm) -> Option<Rumour> {
+        let member = if *vm == self.me { None } else { Some(self.members.get(vm)?) };
+        Some(match member {
+            None => Rumour {
+                vm: vm.clone(),
+                data_centre: self.origin.data_centre.clone(),
+                address: Some(self.origin.address),
+                fact: self.origin.fact,
+            },
+            Some(member) => Rumour {
+                vm: vm.clone(),
+                data_centre: member.data_centre.clone(),
+                address: member.address,
+                fact: member.fact,
+            },
+        })
+    }
+}
--- a/lib/tests/config_scale.rs
+++ b/lib/tests/config_scale.rs
@@ -4,7 +4,7 @@
 
 use {
     fleet::{Cost, Fleet, Network, tables, vm},
-    monsoon_lib::{member::State, unit::Revision},
+    monsoon_lib::{member::State, table::Builder, unit::Revision},
     std::time::Duration,
 };
 
@@ -133,14 +133,28 @@
     let read_rate = (fleet.platform.total_reads() - reads) as f64 / (3.0 * 57.6);
     show(nodes, "changes", rates(&fleet, &before, 3 * CHANGE_INTERVAL), read_rate);
     let left = leave(&mut fleet, nodes / 2);
+    let per_node = begin.elapsed().as_secs_f64() / nodes as f64 / fleet.now.as_nanos() as f64 * 1e9;
     println!(
         "{nodes} nodes: start {start:?}, worst second {} reads, change {worst:?}, leaving {left:?}, \
-         run {:?}",
+         {:.2}% of a core a node with the harness, tables checked in {:?}",
         fleet.platform.worst_second(),
-        begin.elapsed()
+        per_node * 100.0,
+        check_time(nodes)
     );
 }
 
+/// Returns how long it takes to check all tables once.
+fn check_time(nodes: usize) -> Duration {
+    let lines = large_tables(nodes);
+    let begin = std::time::Instant::now();
+    let mut builder = Builder::new();
+    for (name, text) in &lines {
+        builder.add_value(name, text.as_ref().expect("it has a text"));
+    }
+    builder.finish(Revision(1)).expect("the tables are valid");
+    begin.elapsed()
+}
+
 /// Prints the table of docs/design/configuration.md. `MONSOON_NODES` chooses the sizes.
 #[test]
 #[ignore = "a measurement of some minutes"]
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -37,6 +37,7 @@
     Deliver { from: usize, to: usize, packet: Packet },
     Poll { node: usize, life: u64, after: Revision, until: Instant },
     Listed { node: usize, life: u64 },
+    Wake { node: usize },
 }
 
 struct Timed {
@@ -218,6 +219,17 @@
     pub fn pause(&mut self, node: usize, time: Duration) {
         self.nodes[node].paused_until = Some(self.now + time);
         self.nodes[node].touched_at = self.now;
+        self.push(time, Event::Wake { node });
+    }
+
+    /// Ends a pause. What reached the paused process has waited in its sockets.
+    fn wake(&mut self, node: usize) {
+        if self.nodes[node].paused_until.take().is_some() {
+            self.nodes[node].touched_at = self.now;
+            for event in std::mem::take(&mut self.nodes[node].deferred) {
+                self.push(Duration::ZERO, event);
+            }
+        }
     }
 
     /// Puts each node on one side of a cut, which no message passes.
@@ -234,13 +246,10 @@
         self.cut(|_, _| 0);
         self.network = GOOD;
         self.platform.heal(self.now);
-        let now = self.now;
         for node in &mut self.nodes {
             node.has_platform = true;
-            if node.paused_until.is_some() {
-                node.paused_until = Some(now);
-            }
         }
+        (0..self.nodes.len()).for_each(|node| self.wake(node));
     }
 
     pub fn leave(&mut self, node: usize) {
@@ -288,18 +297,19 @@
 
     fn handle(&mut self, event: Event) {
         let node = match &event {
-            Event::Tick { node, .. } | Event::Poll { node, .. } | Event::Listed { node, .. } => {
-                *node
-            }
+            Event::Tick { node, .. }
+            | Event::Poll { node, .. }
+            | Event::Listed { node, .. }
+            | Event::Wake { node } => *node,
             Event::Deliver { to, .. } => *to,
         };
         if let Some(until) = self.nodes[node].paused_until {
-            self.nodes[node].touched_at = self.now;
-            if self.now < until {
-                // What reaches a paused process waits in its sockets until it wakes up.
-                return self.push(until.since(self.now), event);
+            if !matches!(event, Event::Wake { .. }) {
+                return self.nodes[node].deferred.push(event);
+            }
+            if self.now >= until {
+                self.wake(node);
             }
-            self.nodes[node].paused_until = None;
         }
         let life = self.nodes[node].life;
         match event {
