--- a/bench/tests/overload.rs
+++ b/bench/tests/overload.rs
@@ -123,6 +123,11 @@
     check_goals("slow branch");
 }
 
+#[test]
+fn branched_surge() {
+    check_goals("5x, branches");
+}
+
 #[test]
 fn early_refusal_gain() {
     let case = case("slow branch");
