bench: nested calls of requests that were given up

Without control a nested call of a request that its client had given up was dropped, and the call above it held its slot for ever. It now goes on, as work for nobody does.

--- a/bench/src/overload/sim/hop.rs
+++ b/bench/src/overload/sim/hop.rs
@@ -138,11 +138,13 @@
             self.nodes[sender].pickers[hop].started(&vm);
         }
         let number = self.number();
-        let Some(class) = self.class_of(attempt) else { return };
+        let above = parent.and_then(|parent| self.calls.get(&parent)).map(|call| call.last_hop);
+        let hops = |class: Class| self.case.hops[class.index()] - 1;
+        let Some(last_hop) = above.or_else(|| self.class_of(attempt).map(hops)) else { return };
         let call = Call {
             attempt,
             hop,
-            last_hop: self.case.hops[class.index()] - 1,
+            last_hop,
             sender,
             node,
             parent,
