--- a/lib/tests/member_faults.rs
+++ b/lib/tests/member_faults.rs
@@ -4,7 +4,7 @@
 
 use {
     fleet::{Fleet, Network, vm},
-    monsoon_lib::member::{Change, Message, State},
+    monsoon_lib::member::{Body, Change, Message, State},
     std::time::Duration,
 };
 
@@ -78,6 +78,37 @@
     assert_eq!(changes_to(&mut fleet, State::Dead), 0, "the node that woke up dropped others");
 }
 
+#[test]
+fn stuttering_node() {
+    let mut fleet = Fleet::new(13, 3, 8);
+    fleet.run(10 * SECOND);
+    fleet.nodes[5].view.changes();
+    for _ in 0..20 {
+        fleet.pause(5, 2 * SECOND);
+        fleet.run(2 * SECOND + Duration::from_millis(110));
+    }
+    let is_doubt =
+        |change: &Change| matches!(change, Change::State { to, .. } if *to != State::Live);
+    let doubts = fleet.nodes[5].view.changes().into_iter().filter(is_doubt).count();
+    assert_eq!(doubts, 0, "a node that is paused again and again doubts others");
+}
+
+#[test]
+fn lone_node() {
+    let mut fleet = Fleet::new(3, 3, 9);
+    fleet.run(10 * SECOND);
+    fleet.cut(|i, _| u8::from(i == 0));
+    fleet.run(60 * SECOND);
+    for other in 1..3 {
+        let state = fleet.nodes[0].view.state_of(&vm(other));
+        assert_ne!(state, Some(State::Dead), "a node that hears nobody declares others dead");
+        assert_eq!(fleet.nodes[other].view.state_of(&vm(0)), Some(State::Dead));
+    }
+    fleet.heal();
+    let back = fleet.run_until(5 * SECOND, all_live);
+    assert!(back.is_some(), "a node that was alone is not live everywhere within 5 s");
+}
+
 #[test]
 fn lossy_network() {
     let mut fleet = Fleet::new(50, 3, 4);
@@ -125,7 +156,12 @@
     let answers = fleet.nodes[0].view.receive(now, &vm(1), message);
     let known = fleet.nodes[0].view.live().find(|peer| peer.vm == vm(1)).expect("it is live");
     assert_eq!(known.incarnation, life, "a message of an earlier life changed the later one");
-    assert!(answers.iter().all(|(to, _)| *to == vm(1)));
+    assert!(!answers.is_empty());
+    for (to, answer) in answers {
+        assert_eq!((to, answer.body), (vm(1), Body::News), "an earlier life is served");
+        let told = answer.rumours.iter().any(|r| r.vm == vm(1) && r.fact.incarnation == life);
+        assert!(told, "an earlier life is not told that it was replaced");
+    }
 }
 
 #[test]
