--- a/lib/tests/member_hostile.rs
+++ b/lib/tests/member_hostile.rs
@@ -64,6 +64,16 @@
     assert!(answers.is_empty());
 }
 
+#[test]
+fn earlier_rumour() {
+    let mut view = view();
+    let later = Fact::new(LIFE);
+    let earlier = Fact { health: Health::Dead, ..Fact::new(id::Incarnation(LIFE.0 - 5)) };
+    let rumours = vec![rumour(2, later), rumour(2, earlier)];
+    view.receive(Instant::from_millis(2), &vm(1), message(later, Body::News, rumours));
+    assert_eq!(view.state_of(&vm(2)), Some(State::Live));
+}
+
 #[test]
 fn own_death() {
     let mut view = view();
