--- a/bench/src/commands/demo.rs
+++ b/bench/src/commands/demo.rs
@@ -68,6 +68,7 @@
             name: name.into(),
             deployment,
             scale: self.scale,
+            warm_s: 4.0,
             seconds: self.seconds,
             load: 0.9,
             retries: 2,
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -46,6 +46,10 @@
     /// The factor on slots and rates of the deployment.
     #[serde(default = "default_scale")]
     pub scale: f64,
+    /// How long the fleet is idle before the first request, in seconds. A fleet that is started as a
+    /// whole has no burst to give and fills it up at the accounts' rates.
+    #[serde(default = "default_warm_s")]
+    pub warm_s: f64,
     /// How long requests arrive, in seconds.
     pub seconds: f64,
     /// The load, in parts of the accounts' rates.
@@ -70,6 +74,11 @@
     SCALE
 }
 
+fn default_warm_s() -> f64 {
+    const WARM_S: f64 = 4.0;
+    WARM_S
+}
+
 fn default_load() -> f64 {
     const LOAD: f64 = 0.9;
     LOAD
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -26,6 +26,7 @@
     let bar = progress(experiment);
     bar.set_message(format!("{}: starting", experiment.name));
     let mut fleet = Fleet::start(experiment.description()).await?;
+    tokio::time::sleep(Duration::from_secs_f64(experiment.warm_s)).await;
     bar.set_message(experiment.name.clone());
     let plan = experiment.plan(fleet.description());
     let generator = Generator::new(plan, entries(experiment, &fleet));
