node: idempotency keys end to end

A call with a key on a route that is not idempotent now asks the key's owner for the right to run after its account paid, carries the claim to the node in front of the target, which checks it right before the first byte, and reports how it ended. Kept answers are fetched from the node that keeps them. A request that is cancelled while it waits for the owner is unknown, since an earlier copy may have run.

--- a/bench/src/commands/demo.rs
+++ b/bench/src/commands/demo.rs
@@ -52,6 +52,8 @@
         );
         outcome::print(&outcomes);
         println!();
+        outcome::print_refused(&outcomes);
+        println!();
         Latency { rate: PROBE_RATE, seconds: PROBE_SECONDS }.run()?;
         explain();
         let violations: usize =
--- a/bench/src/commands/run.rs
+++ b/bench/src/commands/run.rs
@@ -47,6 +47,8 @@
             outcomes.extend(self.play(&experiment)?);
         }
         outcome::print(&outcomes);
+        println!();
+        outcome::print_refused(&outcomes);
         let violations: usize = outcomes.iter().map(|outcome| outcome.violations.total()).sum();
         if violations > 0 {
             return Err(Error::Violations(violations));
--- a/bench/src/outcome.rs
+++ b/bench/src/outcome.rs
@@ -66,6 +66,8 @@
     /// Seconds from the end of the last surge or fault until 95 of 100 requests in a slot were
     /// answered, if they were.
     pub recovery_s: Option<f64>,
+    /// Requests that ended with a refusal, by reason and outcome.
+    pub refused: BTreeMap<String, u64>,
     /// By class.
     pub classes: BTreeMap<Class, ClassRow>,
     /// Requests that arrived and were answered, by slot of 100 ms.
@@ -95,6 +97,7 @@
             failed_within_rate: 1.0 - ratio(count(ClassRow::served), count(|row| row.due)),
             attempts_per_request: ratio(total.attempts as f64, total.sent as f64),
             recovery_s: recovery(experiment, report),
+            refused: refused(report),
             classes,
             timeline: report.timeline().iter().map(|slot| (slot.sent, slot.whole)).collect(),
             violations: violations(report, fleet),
@@ -119,6 +122,16 @@
     }
 }
 
+/// Prints how many requests of each experiment were refused, by reason and outcome.
+pub fn print_refused(outcomes: &[Outcome]) {
+    for outcome in outcomes {
+        let counts = outcome.refused.iter().filter(|(_, count)| **count > 0);
+        let counts: Vec<String> =
+            counts.map(|(reason, count)| format!("{reason} {count}")).collect();
+        println!("{}: {}", outcome.experiment.name, counts.join(", "));
+    }
+}
+
 /// Prints the closing table.
 pub fn print(outcomes: &[Outcome]) {
     const HEAD: [&str; 9] = [
@@ -140,6 +153,19 @@
     if whole > 0.0 { part / whole } else { 1.0 }
 }
 
+fn refused(report: &Report) -> BTreeMap<String, u64> {
+    let total = report.total();
+    let mut counts: BTreeMap<String, u64> = total
+        .refused
+        .iter()
+        .map(|(refused, count)| (format!("{} {}", refused.reason, refused.outcome), *count))
+        .collect();
+    counts
+        .extend(total.statuses.iter().map(|(status, count)| (format!("status {status}"), *count)));
+    counts.insert("broken".into(), total.broken);
+    counts
+}
+
 fn class_row(report: &Report, class: Class) -> ClassRow {
     let tally = report.class(class);
     ClassRow { due: tally.within_rate, sent: tally.sent, whole: tally.whole }
--- a/daemon/schema/peer.capnp
+++ b/daemon/schema/peer.capnp
@@ -19,6 +19,8 @@
   retries @8 :UInt8;
   depth @9 :UInt8;
   fingerprint @10 :UInt64;
+  claim @11 :Data;
+  # Empty for a request without an idempotency key.
 }
 
 struct Request {
@@ -54,6 +56,8 @@
 interface Peer {
   call @0 (request :Request) -> (reply :Reply);
   exchange @1 (batch :Data) -> ();
+  kept @2 (call :UInt64, incarnation :UInt64) -> (reply :Reply);
+  # The answer that is kept for an earlier call. A refusal stands for none.
 }
 
 interface Gate {
--- a/daemon/src/http/message.rs
+++ b/daemon/src/http/message.rs
@@ -8,7 +8,7 @@
         },
         web,
     },
-    monsoon_lib::key,
+    monsoon_lib::{key, unit::Bytes},
     sha2::{Digest as _, Sha256},
 };
 
@@ -99,10 +99,10 @@
 }
 
 impl Answer {
-    /// Returns the size that the answer takes in memory, roughly, in bytes.
-    pub fn size(&self) -> u64 {
+    /// Returns the size that the answer takes in memory, roughly.
+    pub fn size(&self) -> Bytes {
         let fields: usize = self.fields.iter().map(|f| f.name.len() + f.value.len()).sum();
-        (fields + self.body.len()) as u64
+        Bytes((fields + self.body.len()) as u64)
     }
 
     /// Returns the status, or 502 where a target sent none that HTTP knows.
--- a/daemon/src/machine.rs
+++ b/daemon/src/machine.rs
@@ -8,8 +8,8 @@
 mod work;
 
 pub use event::{
-    Arrived, Done, Drain, Dump, Explain, Gone, Knows, Listed, Offered, Published, Received, Reply,
-    Waiter,
+    Arrived, Done, Drain, Dump, Explain, Gone, Kept, Knows, Listed, Offered, Published, Received,
+    Reply, Waiter,
 };
 
 use {
@@ -58,10 +58,11 @@
 pub struct Machine {
     node: Node,
     calls: HashMap<id::Call, Open>,
-    kept: HashMap<u64, Answer>,
+    kept: HashMap<id::Call, Answer>,
     links: Links,
     target: Target,
     platform: Platform,
+    incarnation: id::Incarnation,
     tasks: u64,
     exit: Option<oneshot::Sender<()>>,
 }
@@ -73,6 +74,7 @@
         links: Links,
         target: Target,
         platform: Platform,
+        incarnation: id::Incarnation,
         exit: oneshot::Sender<()>,
     ) -> Self {
         Self {
@@ -82,6 +84,7 @@
             links,
             target,
             platform,
+            incarnation,
             tasks: 0,
             exit: Some(exit),
         }
@@ -107,10 +110,12 @@
             Action::Refuse { call, refusal, trailer, limit } => {
                 self.close(call, Done { reply: Reply::Refuse { refusal, limit }, trailer });
             }
-            Action::Keep { call, handle } => self.keep(call, handle),
-            Action::Replay { call, handle } => self.replay(call, handle),
-            Action::Forget { handle } => {
-                self.kept.remove(&handle);
+            Action::Keep { call } => self.keep(call),
+            Action::Fetch { call, from, incarnation, kept } => {
+                self.fetch(call, &from, incarnation, kept, context);
+            }
+            Action::Forget { kept } => {
+                self.kept.remove(&kept);
             }
             Action::Abort { call } => self.abort(call),
             Action::Send { to, messages } => {
@@ -147,18 +152,19 @@
         let _ = open.waiter.send(Done { reply: Reply::Answer(answer), trailer });
     }
 
-    fn keep(&mut self, call: id::Call, handle: u64) {
+    fn keep(&mut self, call: id::Call) {
         let answer = self.calls.get(&call).and_then(|open| open.answer.clone());
         if let Some(answer) = answer {
-            self.kept.insert(handle, answer);
+            self.kept.insert(call, answer);
         }
     }
 
-    fn replay(&mut self, call: id::Call, handle: u64) {
-        let Some(answer) = self.kept.get(&handle).cloned() else {
-            return log::error!("Call {call} has no kept answer.");
-        };
-        self.close(call, Done { reply: Reply::Answer(answer), trailer: Trailer::default() });
+    fn kept(&self, call: id::Call, life: id::Incarnation) -> Option<Answer> {
+        self.kept.get(&call).filter(|_| life == self.incarnation).cloned()
+    }
+
+    fn has_answer(&self, call: id::Call) -> bool {
+        self.calls.get(&call).is_some_and(|open| open.answer.is_some())
     }
 
     fn abort(&mut self, call: id::Call) {
@@ -188,10 +194,6 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
-        /// Requests wait in the mailbox only for as long as one event takes, so it has no bound of
-        /// its own; the listeners bound the requests in flight.
-        const MAILBOX: usize = usize::MAX >> 8;
-        context.set_mailbox_capacity(MAILBOX);
         context.run_interval(TICK, |machine, context| {
             machine.handle_event(Event::Ticked, context);
         });
--- a/daemon/src/machine/event.rs
+++ b/daemon/src/machine/event.rs
@@ -158,6 +158,8 @@
     Ended(Ended),
     /// A forwarded call came back.
     Returned { returned: Returned, trailer: Trailer },
+    /// A kept answer was fetched, or is not there.
+    Fetched,
 }
 
 /// A task of a call ended.
@@ -184,6 +186,7 @@
         let event = match answered.result {
             Result::Ended(ended) => Event::Ended { call, ended },
             Result::Returned { returned, trailer } => Event::Returned { call, returned, trailer },
+            Result::Fetched => Event::Fetched { call, is_found: self.has_answer(call) },
         };
         self.handle_event(event, context);
     }
@@ -215,6 +218,19 @@
     }
 }
 
+/// Asks for the answer that this node keeps for an earlier call, in one life of its process.
+#[derive(Message)]
+#[rtype(result = "Option<Answer>")]
+pub struct Kept(pub id::Call, pub id::Incarnation);
+
+impl Handler<Kept> for Machine {
+    type Result = Option<Answer>;
+
+    fn handle(&mut self, Kept(call, life): Kept, _: &mut Context<Self>) -> Self::Result {
+        self.kept(call, life)
+    }
+}
+
 /// Asks whether a VM belongs to the fleet.
 #[derive(Message)]
 #[rtype(result = "bool")]
--- a/daemon/src/machine/work.rs
+++ b/daemon/src/machine/work.rs
@@ -50,6 +50,29 @@
         });
     }
 
+    /// Fetches a kept answer, from this node or from another.
+    pub(super) fn fetch(
+        &mut self,
+        call: id::Call,
+        from: &id::Vm,
+        incarnation: id::Incarnation,
+        kept: id::Call,
+        context: &mut Context<Self>,
+    ) {
+        let machine = context.address();
+        let own = self.kept(kept, incarnation);
+        let asked =
+            self.node.address_of(from).map(|at| self.links.kept(from, at, kept, incarnation));
+        self.start(call, async move |task| {
+            let answer = match (own, asked) {
+                (Some(answer), _) => Some(answer),
+                (None, Some(asked)) => asked.await,
+                (None, None) => None,
+            };
+            machine.do_send(Answered { call, task, answer, result: Result::Fetched });
+        });
+    }
+
     fn start<F: Future<Output = ()> + 'static>(
         &mut self,
         call: id::Call,
@@ -81,7 +104,8 @@
 fn returned(call: id::Call, task: u64, result: std::result::Result<Done, link::Error>) -> Answered {
     let (returned, trailer, answer) = match result {
         Ok(Done { reply: Reply::Answer(answer), trailer }) => {
-            (Returned::Answered { status: answer.status }, trailer, Some(answer))
+            let returned = Returned::Answered { status: answer.status, size: answer.size() };
+            (returned, trailer, Some(answer))
         }
         Ok(Done { reply: Reply::Refuse { refusal, .. }, trailer }) => {
             (Returned::Refused(refusal), trailer, None)
--- a/daemon/src/peer/codec.rs
+++ b/daemon/src/peer/codec.rs
@@ -59,6 +59,11 @@
 
 /// Writes an offer.
 pub fn write_offer(mut to: peer_capnp::offer::Builder<'_>, offer: &Offer) {
+    if let Some(claim) = &offer.claim
+        && let Ok(claim) = postcard::to_stdvec(claim)
+    {
+        to.set_claim(&claim);
+    }
     to.set_request_high((offer.request.0 >> 64) as u64);
     to.set_request_low(offer.request.0 as u64);
     to.set_account(offer.account.as_ref().map_or("", id::Account::as_str));
@@ -85,6 +90,10 @@
     };
     let class = from.get_class();
     let class = Class::ALL.get(usize::from(class)).copied().ok_or(Error::Class(class))?;
+    let claim = match from.get_claim()? {
+        [] => None,
+        claim => Some(postcard::from_bytes(claim)?),
+    };
     Ok(Offer {
         request: id::Request(request),
         account,
@@ -96,6 +105,7 @@
         retries: from.get_retries(),
         depth: from.get_depth(),
         fingerprint: from.get_fingerprint(),
+        claim,
     })
 }
 
--- a/daemon/src/peer/gate.rs
+++ b/daemon/src/peer/gate.rs
@@ -7,14 +7,19 @@
     },
     crate::{
         http::front::Numbers,
-        machine::{Knows, Machine, Offered, Received, Waiter},
+        machine::{Done, Kept, Knows, Machine, Offered, Received, Reply, Waiter},
         peer_capnp::{gate, peer},
     },
     actix::Addr,
     capnp::{Error, capability::Rc, message::ReaderOptions},
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::{AsyncReadExt, FutureExt},
-    monsoon_lib::{id, settings::Secret},
+    monsoon_lib::{
+        call::{Reason, Refusal},
+        id,
+        node::Trailer,
+        settings::Secret,
+    },
     std::{cell::RefCell, io, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -178,6 +183,22 @@
         Ok(())
     }
 
+    async fn kept(
+        self: Rc<Self>,
+        params: peer::KeptParams,
+        mut results: peer::KeptResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let call = id::Call(params.get_call());
+        let life = id::Incarnation(params.get_incarnation());
+        let kept = self.context.machine.send(Kept(call, life)).await.ok().flatten();
+        let absent = Reply::Refuse { refusal: Refusal::unknown(Reason::Duplicate), limit: None };
+        let reply = kept.map_or(absent, Reply::Answer);
+        let done = Done { reply, trailer: Trailer::default() };
+        codec::write_reply(results.get().init_reply(), &done)?;
+        Ok(())
+    }
+
     async fn exchange(
         self: Rc<Self>,
         params: peer::ExchangeParams,
--- a/daemon/src/peer/link.rs
+++ b/daemon/src/peer/link.rs
@@ -10,8 +10,8 @@
         proof::{End, Role, Transcript},
     },
     crate::{
-        http::message::Request,
-        machine::Done,
+        http::message::{Answer, Request},
+        machine::{Done, Reply},
         peer_capnp::{gate, peer},
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
@@ -166,6 +166,16 @@
         Ok(codec::read_reply(answer.get_reply().map_err(codec::Error::Capnp)?)?)
     }
 
+    async fn kept(&self, call: id::Call, life: id::Incarnation) -> Result<Done, Error> {
+        let peer = self.open().await.map_err(Error::Unreachable)?;
+        let mut kept = peer.kept_request();
+        kept.get().set_call(call.0);
+        kept.get().set_incarnation(life.0);
+        let answer = kept.send().promise.await.map_err(codec::Error::Capnp)?;
+        let answer = answer.get().map_err(codec::Error::Capnp)?;
+        Ok(codec::read_reply(answer.get_reply().map_err(codec::Error::Capnp)?)?)
+    }
+
     async fn exchange(&self, batch: &[u8]) -> Result<(), Error> {
         let peer = self.open().await.map_err(Error::Unreachable)?;
         let mut exchange = peer.exchange_request();
@@ -223,6 +233,27 @@
         async move { link.call(&offer, &request).await }
     }
 
+    /// Fetches the answer that a peer keeps for an earlier call, if it still does.
+    pub fn kept(
+        &self,
+        vm: &id::Vm,
+        address: SocketAddr,
+        call: id::Call,
+        incarnation: id::Incarnation,
+    ) -> impl Future<Output = Option<Answer>> + use<> {
+        let link = self.link(vm, address);
+        async move {
+            match link.kept(call, incarnation).await {
+                Ok(Done { reply: Reply::Answer(answer), .. }) => Some(answer),
+                Ok(_) => None,
+                Err(error) => {
+                    log::debug!("kept answer of {} not fetched: {error}", link.vm);
+                    None
+                }
+            }
+        }
+    }
+
     /// Sends control messages, or drops them where the link is behind: every protocol of the model
     /// bears loss, and none bears a queue without bound.
     pub fn exchange(&self, vm: &id::Vm, address: SocketAddr, messages: &[Message]) {
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -113,6 +113,7 @@
         Links::new(identity),
         Target::new(settings.target, &bounds),
         Platform::new(settings.platform),
+        incarnation,
         exit,
     )
     .start();
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -137,7 +137,8 @@
         let load = load(&head.headers);
         let fields = message::answer_fields(&head.headers);
         let answer = Answer { status, fields, body: body.to_bytes() };
-        Run { ended: Ended::Answered { status, load }, answer: Some(answer) }
+        let size = answer.size();
+        Run { ended: Ended::Answered { status, load, size }, answer: Some(answer) }
     }
 }
 
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -4,7 +4,7 @@
 //! their digests. The truth of refusals is described in docs/design/outcome.md.
 
 use {
-    crate::{id, table::Class},
+    crate::{id, once, table::Class},
     serde::{Deserialize, Serialize},
     std::{fmt, str::FromStr, time::Duration},
 };
@@ -198,4 +198,6 @@
     pub depth: u8,
     /// Identifies equal requests of one account: a hash of account, method, path and body.
     pub fingerprint: u64,
+    /// The right to run a request with an idempotency key, where it has one.
+    pub claim: Option<once::Claim>,
 }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -250,6 +250,11 @@
         self.accepted.as_ref().map(|accepted| &accepted.set)
     }
 
+    /// Returns the revision that last changed a value of the set in force.
+    pub fn revision_of(&self, name: &str) -> Option<Revision> {
+        self.accepted.as_ref()?.history.revision_of(name)
+    }
+
     /// Returns the revision up to which all values are known, in force or not.
     pub fn known(&self) -> Revision {
         self.latest.revision()
--- a/lib/src/config/history.rs
+++ b/lib/src/config/history.rs
@@ -49,6 +49,10 @@
         self.entries.get(name)?.text.as_ref()
     }
 
+    pub fn revision_of(&self, name: &str) -> Option<Revision> {
+        self.entries.get(name).map(|entry| entry.revision)
+    }
+
     /// Returns the values that were not deleted, in the order of names.
     pub fn texts(&self) -> impl Iterator<Item = (&Name, &Arc<str>)> {
         self.entries.iter().filter_map(|(name, entry)| Some((name, entry.text.as_ref()?)))
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -298,6 +298,11 @@
         })
     }
 
+    /// Returns the life of a VM's node that was last heard of.
+    pub fn incarnation_of(&self, vm: &id::Vm) -> Option<id::Incarnation> {
+        self.members.get(vm).map(|member| member.fact.incarnation)
+    }
+
     /// Returns where a VM's node listens for peers, also while it is not reachable.
     pub fn address_of(&self, vm: &id::Vm) -> Option<SocketAddr> {
         self.members.get(vm)?.address
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod dump;
 mod event;
+mod keyed;
 mod serve;
 mod settings;
 
@@ -22,7 +23,7 @@
 
 use {
     crate::{
-        admission, balance, config, context, id, member, pressure, rate, retry,
+        admission, balance, config, context, id, member, once, pressure, rate, retry,
         settings::Settings as ProcessSettings, table, time::Instant,
     },
     call::Call,
@@ -56,6 +57,7 @@
     pickers: BTreeMap<id::Pool, balance::Picker>,
     retries: retry::Policy,
     contexts: context::Registry<()>,
+    once: once::Owner,
     calls: HashMap<id::Call, Call>,
     tickets: HashMap<rate::Ticket, id::Call>,
     timers: BTreeSet<(Instant, id::Call)>,
@@ -111,6 +113,12 @@
             pickers: BTreeMap::new(),
             retries: retry::Policy::new(node.retry.clone(), random.random()),
             contexts: context::Registry::new(node.context.clone(), context_seed),
+            once: once::Owner::new(
+                now,
+                once::Peer { vm: me.clone(), incarnation },
+                node.once.clone(),
+                random.random(),
+            ),
             settings: node,
             me,
             data_centre,
@@ -139,6 +147,7 @@
             Event::Offered { call, from, offer } => self.offered(call, from, offer),
             Event::Returned { call, returned, trailer } => self.returned(call, returned, trailer),
             Event::Ended { call, ended } => self.ended(call, ended),
+            Event::Fetched { call, is_found } => self.fetched(call, is_found),
             Event::Gone { call } => self.gone(call),
             Event::Received { from, incarnation, messages } => {
                 self.received(&from, incarnation, messages);
--- a/lib/src/node/arrive.rs
+++ b/lib/src/node/arrive.rs
@@ -5,6 +5,7 @@
         Message, Node,
         call::{Call, Origin, Stage},
         event::{Door, Head, Trailer},
+        keyed::Keyed,
     },
     crate::{
         call::{Offer, Reason, Refusal},
@@ -56,6 +57,7 @@
             retries: 0,
             depth: checked.depth,
             fingerprint: 0,
+            claim: None,
         };
         let fingerprint = fingerprint(&offer, head.digest);
         let offer = Offer { fingerprint, ..offer };
@@ -70,6 +72,8 @@
             state.children.push(call);
             self.gate.nest(self.now, parent);
         }
+        let key = head.idempotency_key.clone().filter(|_| !checked.route.idempotent);
+        let keyed = key.map(|key| Keyed { key, right: None });
         let state = Call {
             origin: checked.origin,
             offer,
@@ -82,13 +86,15 @@
             tried: Vec::new(),
             may_have_run: false,
             children: Vec::new(),
+            keyed,
+            ran: None,
             pools: Vec::new(),
         };
         self.begin(call, state);
         if is_root {
             self.pay(call);
         } else {
-            self.dispatch(call);
+            self.reserve(call);
         }
     }
 
@@ -96,10 +102,10 @@
     fn pay(&mut self, call: id::Call) {
         let Some(account) = self.calls.get(&call).and_then(|state| state.offer.account.clone())
         else {
-            return self.dispatch(call);
+            return self.reserve(call);
         };
         match self.ledger.take(self.now, &account) {
-            rate::Verdict::Granted => self.dispatch(call),
+            rate::Verdict::Granted => self.reserve(call),
             rate::Verdict::Asked(ticket) => {
                 self.tickets.insert(ticket, call);
                 if let Some(state) = self.calls.get_mut(&call) {
@@ -123,7 +129,7 @@
         for answer in self.ledger.answers() {
             let Some(call) = self.tickets.remove(&answer.ticket) else { continue };
             match answer.verdict {
-                rate::Verdict::Granted => self.dispatch(call),
+                rate::Verdict::Granted => self.reserve(call),
                 rate::Verdict::Refused { retry_after } => self.over_rate(call, retry_after),
                 rate::Verdict::Asked(ticket) => {
                     self.tickets.insert(ticket, call);
--- a/lib/src/node/call.rs
+++ b/lib/src/node/call.rs
@@ -1,6 +1,7 @@
 //! The state of one call at one node.
 
 use {
+    super::keyed::Keyed,
     crate::{call::Offer, id, rate, retry, time::Instant},
     std::time::Duration,
 };
@@ -34,6 +35,10 @@
         /// The ledger's number for the wait.
         ticket: rate::Ticket,
     },
+    /// It waits for the right to run from the owner of its idempotency key.
+    Reserving,
+    /// It waits for the kept answer to an earlier copy of it.
+    Replaying,
     /// It waits for its next attempt.
     Backoff {
         /// When the next attempt starts.
@@ -83,6 +88,10 @@
     pub may_have_run: bool,
     /// Nested calls of the target that runs it.
     pub children: Vec<id::Call>,
+    /// What it holds for its idempotency key, where it has one.
+    pub keyed: Option<Keyed>,
+    /// The VM whose target answered it.
+    pub ran: Option<id::Vm>,
     /// Pools that the call went on to below its own.
     pub pools: Vec<id::Pool>,
 }
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Action, Node, call::Stage},
-    crate::{balance, call::Reason, config, id, member, rate, table},
+    crate::{balance, call::Reason, config, id, member, once, rate, table},
     rand::RngExt as _,
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -17,6 +17,8 @@
     Member(member::Message),
     /// Tables and keys.
     Config(config::Message),
+    /// Idempotency keys.
+    Once(once::Message),
     /// Rates of client accounts.
     Rate(rate::Message),
 }
@@ -59,6 +61,8 @@
         let peers: Vec<member::Peer> = self.view.live().collect();
         let actions = self.store.tick(now, &peers);
         self.act_config(actions);
+        let actions = self.once.tick(now);
+        self.act_once(actions);
         for (to, message) in self.ledger.tick(now) {
             self.post(to, Message::Rate(message));
         }
@@ -105,6 +109,11 @@
                     let actions = self.store.receive(now, from, message);
                     self.act_config(actions);
                 }
+                Message::Once(message) => {
+                    let peer = once::Peer { vm: from.clone(), incarnation };
+                    let actions = self.once.receive(now, &peer, message);
+                    self.act_once(actions);
+                }
                 Message::Rate(message) => {
                     self.ledger.receive(now, from, incarnation, &message);
                 }
@@ -160,6 +169,12 @@
         );
         self.retries.retain(|pool| tables.pools().contains_key(pool));
         self.pickers.retain(|pool, _| tables.pools().contains_key(pool));
+        let store = &self.store;
+        let epoch = |pool: &id::Pool| {
+            let name = format!("{}/{pool}", table::Section::Pools);
+            store.revision_of(&name).unwrap_or_default()
+        };
+        self.once.set_tables(self.now, tables.clone(), epoch);
         self.tables = Some(tables.clone());
         self.update_pickers();
         self.observe_rates();
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -10,6 +10,7 @@
         admission::Kind,
         call::{Offer, Outcome, Reason, Refusal},
         id, pressure, retry,
+        unit::Bytes,
     },
     std::time::Duration,
 };
@@ -25,8 +26,11 @@
         let pool = state.offer.pool.clone();
         let is_first = state.attempts == 0;
         state.attempts += 1;
+        let Some(state) = self.calls.get(&call) else { return };
+        let mut excluded = state.tried.clone();
+        excluded.extend(self.owner_to_avoid(state));
         let picker = self.pickers.get_mut(&pool);
-        let Some(vm) = picker.and_then(|picker| picker.pick(now, &state.tried)) else {
+        let Some(vm) = picker.and_then(|picker| picker.pick(now, &excluded)) else {
             return self.settle(call, Refusal::not_run(Reason::NoTarget), true);
         };
         if is_first {
@@ -35,6 +39,9 @@
         if let Some(picker) = self.pickers.get_mut(&pool) {
             picker.started(&vm);
         }
+        let claim = self.calls.get(&call).and_then(|state| self.claim(state, &vm));
+        let Some(state) = self.calls.get_mut(&call) else { return };
+        state.offer.claim = claim;
         if vm == self.me {
             return self.admit(call);
         }
@@ -60,7 +67,7 @@
         merge(&mut state.pools, &trailer.pools);
         self.learn(&pool, &to, trailer.pressure);
         let (kind, refusal) = match returned {
-            Returned::Answered { status } => (kind_of_status(status), None),
+            Returned::Answered { status, .. } => (kind_of_status(status), None),
             Returned::Refused(refusal) => (kind_of_refusal(&refusal), Some(refusal)),
             Returned::Unreachable => (Kind::Broken, Some(Refusal::not_run(Reason::Broken))),
             Returned::Broken => (Kind::Broken, Some(Refusal::unknown(Reason::Broken))),
@@ -69,7 +76,16 @@
             picker.finished(now, &to, kind, now.since(since));
         }
         match refusal {
-            None => self.answer(call),
+            None => {
+                let size = match returned {
+                    Returned::Answered { size, .. } => size,
+                    _ => Bytes(0),
+                };
+                if let Some(state) = self.calls.get_mut(&call) {
+                    state.ran = Some(to);
+                }
+                self.answer(call, size);
+            }
             Some(refusal) => {
                 self.mark_tried(call, to);
                 self.settle(call, refusal, false);
@@ -130,14 +146,16 @@
             false => refusal,
         };
         self.counts.refused(refusal.reason);
+        self.report_refused(call, &state, refusal.outcome);
         let trailer = self.trailer(&state);
         self.act(Action::Refuse { call, refusal, trailer, limit: None });
     }
 
     /// Ends a call with the answer that the driver holds.
-    pub(super) fn answer(&mut self, call: id::Call) {
+    pub(super) fn answer(&mut self, call: id::Call, size: Bytes) {
         let Some(state) = self.close(call) else { return };
         self.counts.answered += 1;
+        self.report_answered(call, &state, size);
         self.board.learn(&state.offer.route, &state.pools);
         let trailer = self.trailer(&state);
         self.act(Action::Answer { call, trailer });
@@ -188,9 +206,11 @@
 
     /// Drops all work on a call for which nobody waits any more.
     pub(super) fn gone(&mut self, call: id::Call) {
+        let outcome = self.outcome_now(call);
         self.cancel_work(call);
-        if self.close(call).is_some() {
+        if let Some(state) = self.close(call) {
             self.counts.refused(Reason::Cancelled);
+            self.report_refused(call, &state, outcome);
         }
     }
 
@@ -215,16 +235,29 @@
                 }
                 self.act(Action::Abort { call });
             }
+            Stage::Reserving | Stage::Replaying => {}
             Stage::Queued => self.leave_queue(call),
             Stage::Running { since } => self.stop_run(call, since),
         }
     }
 
+    /// Tells whether a call may have run, if it were given up at this moment.
+    fn outcome_now(&self, call: id::Call) -> Outcome {
+        let may_have_run = self.calls.get(&call).is_some_and(|state| {
+            let is_out = match state.stage {
+                Stage::Forwarded { .. } | Stage::Running { .. } => true,
+                // An earlier copy of the request may have run.
+                Stage::Reserving | Stage::Replaying => true,
+                Stage::Paying { .. } | Stage::Backoff { .. } | Stage::Queued => false,
+            };
+            is_out || state.may_have_run
+        });
+        if may_have_run { Outcome::Unknown } else { Outcome::NotRun }
+    }
+
     /// Ends a call of which nobody can use the answer any more.
     pub(super) fn abandon(&mut self, call: id::Call, reason: Reason) {
-        let Some(state) = self.calls.get(&call) else { return };
-        let is_out = matches!(state.stage, Stage::Forwarded { .. } | Stage::Running { .. });
-        let refusal = if is_out { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        let refusal = Refusal { reason, outcome: self.outcome_now(call), retry_after: None };
         self.cancel_work(call);
         self.give_up(call, refusal);
     }
--- a/lib/src/node/dump.rs
+++ b/lib/src/node/dump.rs
@@ -5,7 +5,7 @@
     crate::{
         admission, balance,
         call::{Reason, Refusal},
-        config, id, member, pressure, rate, retry,
+        config, id, member, once, pressure, rate, retry,
         table::{Access, Class, Path},
         time::Instant,
         unit::Revision,
@@ -58,6 +58,8 @@
     pub config: config::Dump,
     /// The fleet's members.
     pub member: member::Dump,
+    /// Idempotency keys.
+    pub once: once::Dump,
     /// The pressure on the pools.
     pub pressure: pressure::Dump,
     /// The shares, loans and homes of the accounts' rates.
@@ -101,6 +103,7 @@
             balance: balance.collect(),
             config: self.store.dump(now),
             member: self.view.dump(now),
+            once: self.once.dump(now),
             pressure: self.board.dump(now),
             rate: self.ledger.dump(now),
             retry: self.retries.dump(now),
--- a/lib/src/node/event.rs
+++ b/lib/src/node/event.rs
@@ -5,7 +5,7 @@
     crate::{
         call::{Offer, Refusal},
         config, context, id, key, member, pressure, table,
-        unit::{Rate, Revision},
+        unit::{Bytes, Rate, Revision},
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -48,6 +48,8 @@
         status: u16,
         /// The fraction of slots in use that the target reported, in thousandths.
         load: Option<u16>,
+        /// The size of the answer.
+        size: Bytes,
     },
     /// The target declared that it did not run the request.
     Shed,
@@ -64,6 +66,8 @@
     Answered {
         /// The HTTP status.
         status: u16,
+        /// The size of the answer.
+        size: Bytes,
     },
     /// The peer or a node below it refused the call.
     Refused(Refusal),
@@ -121,6 +125,13 @@
         /// How it ended.
         ended: Ended,
     },
+    /// A kept answer was fetched, or is not there.
+    Fetched {
+        /// The call.
+        call: id::Call,
+        /// Whether the driver now holds the answer for the call.
+        is_found: bool,
+    },
     /// The one who waits for the call has gone.
     Gone {
         /// The call.
@@ -184,24 +195,27 @@
         /// What the account has left, where its rate decided.
         limit: Option<Limit>,
     },
-    /// Keep the answer that the driver holds for a later replay, under this handle.
+    /// Keep the answer that the driver holds for the call, until [`Action::Forget`].
     Keep {
-        /// The call whose answer is kept.
+        /// The call.
         call: id::Call,
-        /// The handle.
-        handle: u64,
     },
-    /// Answer the call with a kept answer. The call is over.
-    Replay {
+    /// Fetch the answer that a node keeps for an earlier call, hold it for this call, and report
+    /// [`Event::Fetched`].
+    Fetch {
         /// The call.
         call: id::Call,
-        /// The handle under which the answer is kept.
-        handle: u64,
+        /// The node that keeps the answer, which may be this one.
+        from: id::Vm,
+        /// The life of that node in which it keeps the answer.
+        incarnation: id::Incarnation,
+        /// The earlier call, by that node's number.
+        kept: id::Call,
     },
-    /// Forget a kept answer.
+    /// Forget the answer that is kept for a call.
     Forget {
-        /// The handle.
-        handle: u64,
+        /// The call.
+        kept: id::Call,
     },
     /// Stop the call's run or forward and close its connection or stream.
     Abort {
--- a/lib/src/node/serve.rs
+++ b/lib/src/node/serve.rs
@@ -31,6 +31,8 @@
             tried: Vec::new(),
             may_have_run: false,
             children: Vec::new(),
+            keyed: None,
+            ran: None,
             pools: Vec::new(),
             offer,
         };
@@ -93,6 +95,15 @@
             self.refused_here(call, Refusal::not_run(Reason::Overload));
             return self.release(released);
         };
+        if let Some(claim) = &state.offer.claim
+            && let Err(refusal) = self.once.admit(now, claim)
+        {
+            self.contexts.close(call);
+            let released = self.gate.done(now, call, cancelled());
+            self.refused_here(call, refusal);
+            return self.release(released);
+        }
+        let Some(state) = self.calls.get_mut(&call) else { return };
         state.stage = Stage::Running { since: now };
         let remaining = state.remaining(now).saturating_sub(HOP_MARGIN);
         let offer = Offer { remaining, ..state.offer.clone() };
@@ -105,6 +116,11 @@
         let Some(state) = self.calls.get_mut(&call) else { return };
         let Stage::Running { since } = state.stage else { return };
         state.stage = Stage::Backoff { until: now };
+        if matches!(ended, Ended::Shed | Ended::Unreachable)
+            && let Some(claim) = &state.offer.claim
+        {
+            self.once.withdrawn(claim);
+        }
         self.contexts.close(call);
         self.cancel_children(call);
         let latency = now.since(since);
@@ -114,9 +130,12 @@
         let kind = admission::Ended { latency, kind: kind_of(ended) };
         let released = self.gate.done(now, call, kind);
         match ended {
-            Ended::Answered { status, .. } => {
+            Ended::Answered { status, size, .. } => {
                 self.finish_own(call, kind_of_status(status), latency);
-                self.answer(call);
+                if let Some(state) = self.calls.get_mut(&call) {
+                    state.ran = Some(self.me.clone());
+                }
+                self.answer(call, size);
             }
             Ended::Shed => self.failed_here(call, Refusal::not_run(Reason::Overload), latency),
             Ended::Unreachable => {
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of all decisions of a node.
 
 use {
-    crate::{admission, balance, config, context, member, pressure, rate, retry},
+    crate::{admission, balance, config, context, member, once, pressure, rate, retry},
     serde::Deserialize,
 };
 
@@ -21,6 +21,8 @@
     pub context: context::Settings,
     /// Membership.
     pub member: member::Settings,
+    /// Idempotency keys.
+    pub once: once::Settings,
     /// Early refusal.
     pub pressure: pressure::Settings,
     /// Rates of client accounts.
@@ -38,6 +40,7 @@
             config: config::Settings::default(),
             context: context::Settings::default(),
             member: member::Settings::default(),
+            once: once::Settings::default(),
             pressure: pressure::Settings::default(),
             rate: rate::Settings::default(),
             retry: retry::Settings::default(),
--- a/lib/tests/retry_budget.rs
+++ b/lib/tests/retry_budget.rs
@@ -26,6 +26,7 @@
         retries: 3,
         depth: 0,
         fingerprint: 7,
+        claim: None,
     }
 }
 
