--- a/lib/tests/once_key/main.rs
+++ b/lib/tests/once_key/main.rs
@@ -3,4 +3,5 @@
 mod cost;
 mod faults;
 mod loss;
+mod verdicts;
 mod world;
--- /dev/null
+++ b/lib/tests/once_key/verdicts.rs
@@ -0,0 +1,83 @@
+//! What a caller is told for each verdict of a key's owner.
+
+use {
+    monsoon_lib::{
+        call::{Outcome, Reason},
+        id::{Account, Call, Incarnation, Pool, Route, Vm},
+        once::{Action, Demand, Message, Owner, Peer, Place, Settings, Ticket, Verdict},
+        table::Builder,
+        time::Instant,
+        unit::Revision,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const TABLES: &str = "\
+pools:
+  - name: bench
+    targets:
+      - { vm: v1, data_centre: d, slots: 9, connections: 9 }
+";
+
+fn peer(vm: &str) -> Peer {
+    Peer { vm: vm.parse::<Vm>().expect("a name"), incarnation: Incarnation(1) }
+}
+
+/// Returns what a node that is not the owner does on a verdict.
+fn told(verdict: Verdict) -> Vec<Action> {
+    let mut builder = Builder::new();
+    builder.add_document("test", TABLES);
+    let tables = Arc::new(builder.finish(Revision(1)).expect("the tables are valid"));
+    let now = Instant::from_millis(1);
+    let mut owner = Owner::new(now, peer("v0"), Settings::default(), 1);
+    owner.set_tables(now, tables, |_| Revision(1));
+    let (account, route): (Account, Route) =
+        ("chonburi".parse().expect("a name"), "book".parse().expect("a name"));
+    let pool: Pool = "bench".parse().expect("a name");
+    let demand = Demand {
+        account: Some(&account),
+        route: &route,
+        pool: &pool,
+        key: b"k",
+        body: 1,
+        deadline: now + Duration::from_secs(1),
+    };
+    let asked = owner.begin(now, Call(1), &demand);
+    assert!(matches!(&asked[..], [Action::Send { message: Message::Reserve { .. }, .. }]));
+    owner.receive(now, &peer("v1"), Message::Reserved { call: Call(1), verdict })
+}
+
+#[test]
+fn refusals() {
+    use {Outcome::*, Reason::*};
+    let table = [
+        (Verdict::Taken, Duplicate, Unknown),
+        (Verdict::Unsure(Duration::from_secs(1)), Duplicate, Unknown),
+        (Verdict::Foreign, Duplicate, Unknown),
+        (Verdict::Reuse, KeyReuse, NotRun),
+        (Verdict::Full, Overload, NotRun),
+    ];
+    for (verdict, reason, outcome) in table {
+        let actions = told(verdict.clone());
+        let [Action::Refuse { call: Call(1), refusal }] = &actions[..] else {
+            panic!("{verdict:?} gives {actions:?}");
+        };
+        assert_eq!((refusal.reason, refusal.outcome), (reason, outcome), "{verdict:?}");
+    }
+}
+
+#[test]
+fn grant() {
+    let ticket = Ticket { owner: peer("v1"), epoch: Revision(1), sequence: 1 };
+    let actions = told(Verdict::Grant(ticket));
+    assert!(matches!(&actions[..], [Action::Proceed { call: Call(1), .. }]), "{actions:?}");
+}
+
+#[test]
+fn replay() {
+    let place = Place { node: peer("v2"), call: Call(7) };
+    let expected = vec![Action::Replay { call: Call(1), place: place.clone() }];
+    assert_eq!(told(Verdict::Replay(place)), expected);
+    let lost = Place { node: peer("v0"), call: Call(7) };
+    assert!(matches!(&told(Verdict::Replay(lost))[..], [Action::Refuse { .. }]));
+}
