node: crashing requests refused, own gate heard, gone callers cancelled

Cause: nothing tied crashes to requests; the board and the picker never heard the node's own gate when the node picked its own target; and a caller that closed its connection was only noticed when its answer was written.

A broken run now makes the driver try a connection; where the target takes none, the calls in flight are blamed, and up to 16 peers hear of it at once, since the caller may already send again. The listeners cancel a request whose caller closed its side.

--- a/daemon/src/http/front.rs
+++ b/daemon/src/http/front.rs
@@ -125,6 +125,8 @@
     })
     .workers(1)
     .max_connections(connections)
+    // A caller that closes its side has gone, and its request is cancelled.
+    .h1_allow_half_closed(false)
     .client_request_timeout(HEAD_TIMEOUT)
     .disable_signals()
     .shutdown_timeout(0)
--- a/daemon/src/machine.rs
+++ b/daemon/src/machine.rs
@@ -8,8 +8,8 @@
 mod work;
 
 pub use event::{
-    Arrived, Done, Drain, Dump, Explain, Gone, Kept, Knows, Listed, Offered, Published, Received,
-    Reply, Waiter,
+    Arrived, Done, Drain, Dump, Explain, Gone, Kept, Knows, Listed, Offered, Probed, Published,
+    Received, Reply, Waiter,
 };
 
 use {
@@ -123,6 +123,7 @@
                     self.links.exchange(&to, address, &messages);
                 }
             }
+            Action::Probe => self.probe(context.address()),
             Action::Read { after, wait } => self.read(after, wait, context.address()),
             Action::List => self.list(context.address()),
             Action::InForce(tables) => {
--- a/daemon/src/machine/event.rs
+++ b/daemon/src/machine/event.rs
@@ -192,6 +192,19 @@
     }
 }
 
+/// A probe of the target ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Probed(pub bool);
+
+impl Handler<Probed> for Machine {
+    type Result = ();
+
+    fn handle(&mut self, Probed(is_alive): Probed, context: &mut Context<Self>) {
+        self.handle_event(Event::Probed { is_alive }, context);
+    }
+}
+
 /// A read of the platform's values ended.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/daemon/src/machine/work.rs
+++ b/daemon/src/machine/work.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Machine, Task,
-        event::{Answered, Done, Listed, Published, Reply, Result},
+        event::{Answered, Done, Listed, Probed, Published, Reply, Result},
     },
     crate::{peer::link, target::Run},
     actix::{Addr, AsyncContext, Context},
@@ -93,6 +93,13 @@
         });
     }
 
+    pub(super) fn probe(&mut self, machine: Addr<Self>) {
+        let target = self.target.clone();
+        actix_rt::spawn(async move {
+            machine.do_send(Probed(target.is_alive().await));
+        });
+    }
+
     pub(super) fn list(&mut self, machine: Addr<Self>) {
         let platform = self.platform.clone();
         actix_rt::spawn(async move {
--- a/daemon/src/peer/gate.rs
+++ b/daemon/src/peer/gate.rs
@@ -141,7 +141,7 @@
         let client = transcript.client;
         let knows = self.context.machine.send(Knows(client.vm.clone())).await;
         if !knows.unwrap_or(false) {
-            log::warn!("{} is no VM of this fleet.", client.vm);
+            log::debug!("{} is no VM of this fleet.", client.vm);
             return Err(refused());
         }
         if let Some(proved) = self.proved.take() {
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -65,6 +65,12 @@
         Self { client, address, body_bytes }
     }
 
+    /// Tells whether the target takes connections.
+    pub async fn is_alive(&self) -> bool {
+        let connected = tokio::net::TcpStream::connect(self.address);
+        matches!(tokio::time::timeout(CONNECT_TIMEOUT, connected).await, Ok(Ok(_)))
+    }
+
     /// Sends a request and waits for the whole answer. Dropping the future closes the connection.
     pub fn run(
         &self,
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -23,7 +23,7 @@
 
 use {
     crate::{
-        admission, balance, config, context, id, member, once, pressure, rate, retry,
+        admission, balance, config, context, crash, id, member, once, pressure, rate, retry,
         settings::Settings as ProcessSettings, table, time::Instant,
     },
     call::Call,
@@ -57,6 +57,8 @@
     pickers: BTreeMap<id::Pool, balance::Picker>,
     retries: retry::Policy,
     contexts: context::Registry<()>,
+    suspects: crash::Suspects,
+    broken: Vec<id::Call>,
     once: once::Owner,
     calls: HashMap<id::Call, Call>,
     tickets: HashMap<rate::Ticket, id::Call>,
@@ -113,6 +115,8 @@
             pickers: BTreeMap::new(),
             retries: retry::Policy::new(node.retry.clone(), random.random()),
             contexts: context::Registry::new(node.context.clone(), context_seed),
+            suspects: crash::Suspects::new(me.clone(), incarnation, node.crash.clone()),
+            broken: Vec::new(),
             once: once::Owner::new(
                 now,
                 once::Peer { vm: me.clone(), incarnation },
@@ -148,6 +152,7 @@
             Event::Returned { call, returned, trailer } => self.returned(call, returned, trailer),
             Event::Ended { call, ended } => self.ended(call, ended),
             Event::Fetched { call, is_found } => self.fetched(call, is_found),
+            Event::Probed { is_alive } => self.probed(is_alive),
             Event::Gone { call } => self.gone(call),
             Event::Received { from, incarnation, messages } => {
                 self.received(&from, incarnation, messages);
--- a/lib/src/node/arrive.rs
+++ b/lib/src/node/arrive.rs
@@ -213,11 +213,14 @@
         })
     }
 
-    /// Refuses what a deeper pool would refuse. It costs no token.
+    /// Refuses what crashed targets before, and what a deeper pool would refuse. It costs no token.
     fn refuse_early(&mut self, offer: &Offer) -> Option<Refusal> {
         if offer.remaining.is_zero() {
             return Some(Refusal::not_run(Reason::Deadline));
         }
+        if let Err(refusal) = self.suspects.check(offer.fingerprint) {
+            return Some(refusal);
+        }
         self.board.check(self.now, &offer.route, &offer.pool, offer.class, &offer.account)
     }
 
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -2,14 +2,17 @@
 
 use {
     super::{Action, Node, call::Stage},
-    crate::{balance, call::Reason, config, id, member, once, rate, table},
-    rand::RngExt as _,
+    crate::{balance, call::Reason, config, crash, id, member, once, rate, table},
+    rand::{RngExt as _, seq::IteratorRandom as _},
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
 };
 
 /// How often the protocols between nodes get their tick.
 const CONTROL_PERIOD: Duration = Duration::from_millis(100);
+/// The peers that each node passes news of crashes on to in one period.
+const CRASH_PEERS: usize = 3;
+
 /// One control message between nodes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Message {
@@ -17,6 +20,8 @@
     Member(member::Message),
     /// Tables and keys.
     Config(config::Message),
+    /// Requests that crash targets.
+    Crash(crash::Message),
     /// Idempotency keys.
     Once(once::Message),
     /// Rates of client accounts.
@@ -61,6 +66,8 @@
         let peers: Vec<member::Peer> = self.view.live().collect();
         let actions = self.store.tick(now, &peers);
         self.act_config(actions);
+        self.suspects.tick(now);
+        self.spread_crashes(CRASH_PEERS);
         let actions = self.once.tick(now);
         self.act_once(actions);
         for (to, message) in self.ledger.tick(now) {
@@ -79,6 +86,15 @@
         self.observe_rates();
     }
 
+    /// Passes news of crashes on to some peers.
+    pub(super) fn spread_crashes(&mut self, most: usize) {
+        let peers: Vec<id::Vm> = self.view.live().map(|peer| peer.vm).collect();
+        let Some(message) = self.suspects.spread(self.now, peers.len() + 1) else { return };
+        for vm in peers.into_iter().sample(&mut self.random, most) {
+            self.post(vm, Message::Crash(message.clone()));
+        }
+    }
+
     /// Tells the ledger which VMs can't be asked for tokens.
     fn observe_rates(&mut self) {
         let Some(tables) = &self.tables else { return };
@@ -109,6 +125,7 @@
                     let actions = self.store.receive(now, from, message);
                     self.act_config(actions);
                 }
+                Message::Crash(message) => self.suspects.receive(now, message),
                 Message::Once(message) => {
                     let peer = once::Peer { vm: from.clone(), incarnation };
                     let actions = self.once.receive(now, &peer, message);
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -43,6 +43,7 @@
         let Some(state) = self.calls.get_mut(&call) else { return };
         state.offer.claim = claim;
         if vm == self.me {
+            self.hear_own_gate(&pool);
             return self.admit(call);
         }
         let part = state.budget.split();
@@ -83,6 +84,7 @@
                 };
                 if let Some(state) = self.calls.get_mut(&call) {
                     state.ran = Some(to);
+                    self.suspects.completed(now, state.offer.fingerprint);
                 }
                 self.answer(call, size);
             }
@@ -93,6 +95,14 @@
         }
     }
 
+    /// Tells the board and the picker of this node's own target, which sends no replies to itself.
+    fn hear_own_gate(&mut self, pool: &id::Pool) {
+        let vm = self.me.clone();
+        let report = self.gate.pressure(self.now);
+        let own = pressure::Relayed { pool: pool.clone(), vm, age: Duration::ZERO, report };
+        self.learn(pool, &self.me.clone(), vec![own]);
+    }
+
     fn learn(&mut self, pool: &id::Pool, vm: &id::Vm, pressure: Vec<pressure::Relayed>) {
         let now = self.now;
         for relayed in pressure {
--- a/lib/src/node/dump.rs
+++ b/lib/src/node/dump.rs
@@ -5,7 +5,7 @@
     crate::{
         admission, balance,
         call::{Reason, Refusal},
-        config, id, member, once, pressure, rate, retry,
+        config, crash, id, member, once, pressure, rate, retry,
         table::{Access, Class, Path},
         time::Instant,
         unit::Revision,
@@ -56,6 +56,8 @@
     pub balance: BTreeMap<id::Pool, balance::Dump>,
     /// Tables and keys.
     pub config: config::Dump,
+    /// Requests that crash targets.
+    pub crash: crash::Dump,
     /// The fleet's members.
     pub member: member::Dump,
     /// Idempotency keys.
@@ -102,6 +104,7 @@
             admission: self.gate.dump(now),
             balance: balance.collect(),
             config: self.store.dump(now),
+            crash: self.suspects.dump(now),
             member: self.view.dump(now),
             once: self.once.dump(now),
             pressure: self.board.dump(now),
--- a/lib/src/node/event.rs
+++ b/lib/src/node/event.rs
@@ -132,6 +132,11 @@
         /// Whether the driver now holds the answer for the call.
         is_found: bool,
     },
+    /// Whether the node's own target takes connections, after [`Action::Probe`].
+    Probed {
+        /// Whether it does.
+        is_alive: bool,
+    },
     /// The one who waits for the call has gone.
     Gone {
         /// The call.
@@ -229,6 +234,8 @@
         /// The messages.
         messages: Vec<Message>,
     },
+    /// Try to connect to the node's own target, and report [`Event::Probed`].
+    Probe,
     /// Read the platform's values.
     Read {
         /// The revision after which values are wanted.
--- a/lib/src/node/serve.rs
+++ b/lib/src/node/serve.rs
@@ -16,6 +16,9 @@
     std::time::Duration,
 };
 
+/// The peers that hear of a crash at once, because its caller may already send it again.
+const FIRST_CRASH_PEERS: usize = 16;
+
 impl Node {
     /// Takes a call that a peer sends to this node's own target.
     pub(super) fn offered(&mut self, call: id::Call, from: id::Vm, offer: Offer) {
@@ -40,9 +43,17 @@
         if self.is_closed() {
             return self.give_up(call, Refusal::not_run(Reason::Leaving));
         }
+        if let Err(refusal) = self.check_crasher(call) {
+            return self.give_up(call, refusal);
+        }
         self.admit(call);
     }
 
+    fn check_crasher(&self, call: id::Call) -> Result<(), Refusal> {
+        let fingerprint = self.calls.get(&call).map(|state| state.offer.fingerprint);
+        fingerprint.map_or(Ok(()), |fingerprint| self.suspects.check(fingerprint))
+    }
+
     /// Asks the gate for room on the node's own target.
     pub(super) fn admit(&mut self, call: id::Call) {
         let now = self.now;
@@ -105,6 +116,7 @@
         }
         let Some(state) = self.calls.get_mut(&call) else { return };
         state.stage = Stage::Running { since: now };
+        self.suspects.started(call, state.offer.fingerprint);
         let remaining = state.remaining(now).saturating_sub(HOP_MARGIN);
         let offer = Offer { remaining, ..state.offer.clone() };
         self.act(Action::Run { call, context, offer });
@@ -121,6 +133,7 @@
         {
             self.once.withdrawn(claim);
         }
+        self.note_run(call, ended);
         self.contexts.close(call);
         self.cancel_children(call);
         let latency = now.since(since);
@@ -146,6 +159,33 @@
         self.release(released);
     }
 
+    /// Notes what the end of a run says about the target. A broken connection may be a crash, which
+    /// shows in that the target takes no new ones.
+    fn note_run(&mut self, call: id::Call, ended: Ended) {
+        match ended {
+            Ended::Answered { .. } => self.suspects.ended(self.now, call, true),
+            Ended::Shed | Ended::Unreachable => self.suspects.ended(self.now, call, false),
+            Ended::Broken => {
+                if self.broken.is_empty() {
+                    self.act(Action::Probe);
+                }
+                self.broken.push(call);
+            }
+        }
+    }
+
+    /// Takes the result of a probe of the node's own target.
+    pub(super) fn probed(&mut self, is_alive: bool) {
+        let broken = std::mem::take(&mut self.broken);
+        if !is_alive {
+            self.suspects.crashed(self.now);
+            return self.spread_crashes(FIRST_CRASH_PEERS);
+        }
+        for call in broken {
+            self.suspects.ended(self.now, call, false);
+        }
+    }
+
     fn failed_here(&mut self, call: id::Call, refusal: Refusal, latency: Duration) {
         self.finish_own(call, kind_of_refusal(&refusal), latency);
         self.mark_tried(call, self.me.clone());
@@ -170,6 +210,7 @@
     pub(super) fn stop_run(&mut self, call: id::Call, since: Instant) {
         let latency = self.now.since(since);
         self.finish_own(call, admission::Kind::Cancelled, latency);
+        self.suspects.ended(self.now, call, false);
         self.contexts.close(call);
         self.cancel_children(call);
         self.act(Action::Abort { call });
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of all decisions of a node.
 
 use {
-    crate::{admission, balance, config, context, member, once, pressure, rate, retry},
+    crate::{admission, balance, config, context, crash, member, once, pressure, rate, retry},
     serde::Deserialize,
 };
 
@@ -19,6 +19,8 @@
     pub config: config::Settings,
     /// Call contexts.
     pub context: context::Settings,
+    /// Requests that crash targets.
+    pub crash: crash::Settings,
     /// Membership.
     pub member: member::Settings,
     /// Idempotency keys.
@@ -39,6 +41,7 @@
             balance: balance::Settings::default(),
             config: config::Settings::default(),
             context: context::Settings::default(),
+            crash: crash::Settings::default(),
             member: member::Settings::default(),
             once: once::Settings::default(),
             pressure: pressure::Settings::default(),
