--- a/bench/src/commands.rs
+++ b/bench/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands of the tool, one file each.
 
 pub mod compare;
+pub mod control;
 pub mod demo;
 pub mod latency;
 pub mod overload;
--- a/bench/src/commands/latency.rs
+++ b/bench/src/commands/latency.rs
@@ -5,6 +5,7 @@
     crate::{
         probe::{self, Effort, Ways},
         text,
+        usage::Usage,
     },
     argh::FromArgs,
     hdrhistogram::Histogram,
@@ -13,7 +14,7 @@
         fleet::{Description, Fleet, Pool, Route},
         target::Service,
     },
-    std::{fs, time::Instant},
+    std::time::Instant,
 };
 
 /// Measure the latency that the system adds to a call, with a node's processor time and memory.
@@ -60,34 +61,6 @@
     }
 }
 
-/// What a process has used.
-#[derive(Clone, Copy, Debug)]
-struct Usage {
-    cpu_s: f64,
-    resident_mb: f64,
-}
-
-impl Usage {
-    /// Reads the usage of a process from the system, or zeros where it is gone.
-    fn of(pid: u32) -> Self {
-        const TICKS_PER_S: f64 = 100.0;
-        const PAGES_PER_MB: f64 = 256.0;
-        /// The fields after the name, which may hold spaces: user and system time, resident pages.
-        const USER: usize = 11;
-        const SYSTEM: usize = 12;
-        const RESIDENT: usize = 21;
-        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-        let fields = stat.rsplit(") ").next().unwrap_or_default();
-        let fields: Vec<f64> =
-            fields.split(' ').map(|field| field.trim().parse().unwrap_or(0.0)).collect();
-        let field = |index: usize| fields.get(index).copied().unwrap_or(0.0);
-        Self {
-            cpu_s: (field(USER) + field(SYSTEM)) / TICKS_PER_S,
-            resident_mb: field(RESIDENT) / PAGES_PER_MB,
-        }
-    }
-}
-
 fn print_ways(ways: &Ways, rate: u32) {
     let millis = |way: &Histogram<u64>, quantile| {
         format!("{:.3}", way.value_at_quantile(quantile) as f64 / 1_000.0)
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod run;
 mod text;
+mod usage;
 
 use {argh::FromArgs, std::process::ExitCode};
 
@@ -25,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Compare(commands::compare::Compare),
+    Control(commands::control::Control),
     Demo(commands::demo::Demo),
     Latency(commands::latency::Latency),
     Overload(commands::overload::Overload),
@@ -35,6 +37,7 @@
     let Arguments { command } = argh::from_env();
     let result = match command {
         Command::Compare(compare) => compare.run(),
+        Command::Control(control) => control.run(),
         Command::Demo(demo) => demo.run(),
         Command::Latency(latency) => latency.run(),
         Command::Overload(overload) => {
--- a/daemon/src/machine.rs
+++ b/daemon/src/machine.rs
@@ -16,6 +16,7 @@
     crate::{
         clock,
         http::message::{Answer, Request},
+        metrics::Metrics,
         peer::link::Links,
         platform::Platform,
         target::Target,
@@ -33,6 +34,8 @@
 
 /// How often the model gets its tick.
 const TICK: Duration = Duration::from_millis(10);
+/// How often metrics are sent.
+const METRICS_PERIOD: Duration = Duration::from_secs(1);
 
 /// One call in flight.
 struct Open {
@@ -64,6 +67,7 @@
     platform: Platform,
     incarnation: id::Incarnation,
     tasks: u64,
+    metrics: Option<Metrics>,
     exit: Option<oneshot::Sender<()>>,
 }
 
@@ -86,10 +90,16 @@
             platform,
             incarnation,
             tasks: 0,
+            metrics: None,
             exit: Some(exit),
         }
     }
 
+    /// Sends metrics every second.
+    pub fn with_metrics(self, metrics: Option<Metrics>) -> Self {
+        Self { metrics, ..self }
+    }
+
     fn handle_event(&mut self, event: Event, context: &mut Context<Self>) {
         self.handle_at(clock::now(), event, context);
     }
@@ -198,5 +208,10 @@
         context.run_interval(TICK, |machine, context| {
             machine.handle_event(Event::Ticked, context);
         });
+        context.run_interval(METRICS_PERIOD, |machine, _| {
+            if let Some(metrics) = &mut machine.metrics {
+                metrics.send(machine.node.counts(), &machine.node.gauges(clock::now()));
+            }
+        });
     }
 }
--- a/daemon/src/machine/event.rs
+++ b/daemon/src/machine/event.rs
@@ -271,6 +271,7 @@
         dump["process"] = serde_json::json!({
             "calls": self.calls.len(),
             "kept_answers": self.kept.len(),
+            "control": self.links.traffic(),
         });
         actix::MessageResult(dump)
     }
--- a/daemon/src/peer/link.rs
+++ b/daemon/src/peer/link.rs
@@ -17,6 +17,7 @@
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::AsyncReadExt,
     monsoon_lib::{call::Offer, id, node::Message, settings::Secret},
+    serde::Serialize,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -185,8 +186,18 @@
     }
 }
 
+/// The control messages that this node sent since it started.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Traffic {
+    /// Exchanges.
+    pub exchanges: u64,
+    /// Their encoded messages, without framing, in bytes.
+    pub bytes: u64,
+}
+
 /// All links that this node opens.
 pub struct Links {
+    traffic: Cell<Traffic>,
     identity: Rc<Identity>,
     links: RefCell<HashMap<id::Vm, Rc<Link>>>,
 }
@@ -194,7 +205,13 @@
 impl Links {
     /// Makes an empty set of links.
     pub fn new(identity: Identity) -> Self {
-        Self { identity: Rc::new(identity), links: RefCell::default() }
+        let links = RefCell::default();
+        Self { traffic: Cell::default(), identity: Rc::new(identity), links }
+    }
+
+    /// Returns the control messages sent so far.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.get()
     }
 
     /// Returns the link to a peer, a new one where the peer has moved.
@@ -266,6 +283,9 @@
             return;
         }
         link.exchanges.set(link.exchanges.get() + 1);
+        let sent = self.traffic.get();
+        let bytes = sent.bytes + batch.len() as u64;
+        self.traffic.set(Traffic { exchanges: sent.exchanges + 1, bytes });
         actix_rt::spawn(async move {
             if let Err(error) = link.exchange(&batch).await {
                 log::debug!("exchange with {} failed: {error}", link.vm);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -5,6 +5,7 @@
         admin, clock,
         http::front::{self, Buffer, Draining, Front, Numbers},
         machine::{Drain, Machine},
+        metrics::Metrics,
         peer::{
             gate::{self, Context},
             link::{Identity, Links},
@@ -59,6 +60,9 @@
         /// Why not.
         error: io::Error,
     },
+    /// Metrics can't be sent.
+    #[error(transparent)]
+    Metrics(#[from] crate::metrics::Error),
     /// The system refused something else that the process needs.
     #[error("{0}")]
     System(#[from] io::Error),
@@ -116,6 +120,7 @@
         incarnation,
         exit,
     )
+    .with_metrics(metrics(&settings)?)
     .start();
     let numbers = Numbers::default();
     let buffer = Buffer::default();
@@ -172,6 +177,11 @@
     Ok(())
 }
 
+fn metrics(settings: &Settings) -> Result<Option<Metrics>, Error> {
+    let made = settings.metrics.map(|address| Metrics::new(address, &settings.vm));
+    Ok(made.transpose()?)
+}
+
 async fn wait_for_signal() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -16,7 +16,7 @@
 
 pub use {
     control::Message,
-    dump::{Dump, Explained},
+    dump::{Counts, Dump, Explained, Gauges},
     event::{Action, Door, Ended, Event, Head, Limit, Returned, Trailer},
     settings::Settings,
 };
@@ -174,7 +174,7 @@
     /// Tells whether a VM belongs to the fleet, so that its link may be accepted.
     pub fn knows(&self, vm: &id::Vm) -> bool {
         let is_target = || self.tables.as_ref().is_some_and(|tables| tables.target(vm).is_some());
-        *vm != self.me && (self.view.state_of(vm).is_some() || is_target())
+        self.view.admits(vm) || (*vm != self.me && is_target())
     }
 
     /// Tells whether a leaving node takes no new work any more. Until the fleet has heard that it
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -82,6 +82,10 @@
         if changes.is_empty() {
             return;
         }
+        // A later process runs for this VM, so this one must not go on granting in its name.
+        if changes.iter().any(|change| matches!(change, member::Change::Superseded { .. })) {
+            self.drain();
+        }
         self.update_pickers();
         self.observe_rates();
     }
@@ -114,6 +118,9 @@
         messages: Vec<Message>,
     ) {
         let now = self.now;
+        if !self.view.admits(from) {
+            return;
+        }
         for message in messages {
             match message {
                 Message::Member(message) => {
--- a/lib/src/node/dump.rs
+++ b/lib/src/node/dump.rs
@@ -27,6 +27,25 @@
     pub refused: BTreeMap<Reason, u64>,
 }
 
+/// What the node is at this moment, in numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Gauges {
+    /// Calls that are not over yet.
+    pub calls: u64,
+    /// Calls that the node's own target runs.
+    pub in_flight: u64,
+    /// Calls that it may run at once.
+    pub limit: u64,
+    /// Calls that wait for it.
+    pub waiting: u64,
+    /// Other VMs that can be reached.
+    pub members: u64,
+    /// The revision of the tables in force.
+    pub revision: Revision,
+    /// Whether keys are admitted.
+    pub has_usable_keys: bool,
+}
+
 impl Counts {
     pub(super) fn refused(&mut self, reason: Reason) {
         *self.refused.entry(reason).or_default() += 1;
@@ -113,6 +132,24 @@
         }
     }
 
+    /// Returns what the node did since it started.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns what the node is at this moment, in numbers.
+    pub fn gauges(&self, now: Instant) -> Gauges {
+        Gauges {
+            calls: self.calls.len() as u64,
+            in_flight: self.gate.in_flight() as u64,
+            limit: self.gate.pressure(now).limit.into(),
+            waiting: self.gate.waiting() as u64,
+            members: self.view.live().count() as u64,
+            revision: self.revision(),
+            has_usable_keys: self.store.keys_usable(now).is_ok(),
+        }
+    }
+
     fn revision(&self) -> Revision {
         self.tables.as_ref().map_or(Revision(0), |tables| tables.revision())
     }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -3,7 +3,7 @@
 //! Unknown fields are refused. Each field is described in docs/operate/settings.md.
 
 use {
-    crate::id,
+    crate::{config, id, member},
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
 };
@@ -25,6 +25,12 @@
     /// The shared secret is too short to prove anything.
     #[error("secret has {0} bytes; give at least {MIN_SECRET_BYTES}, the same on all nodes")]
     Secret(usize),
+    /// A setting of membership is not usable.
+    #[error("node.member: {0}")]
+    Member(#[from] member::Error),
+    /// A setting of tables and keys is not usable.
+    #[error("node.config: {0}")]
+    Config(#[from] config::Error),
     /// A number is outside of its range.
     #[error("{field} is {found}; set it from {least} to {most}")]
     Range {
@@ -194,7 +200,10 @@
         range("bounds.buffer_bytes", bounds.buffer_bytes, bounds.body_bytes, 1 << 30)?;
         range("bounds.connections", bounds.connections, 1, 100_000)?;
         range("bounds.target_idle_ms", bounds.target_idle_ms, 1, MAX_WAIT_MS)?;
-        range("bounds.drain_ms", bounds.drain_ms, 1, MAX_WAIT_MS)
+        range("bounds.drain_ms", bounds.drain_ms, 1, MAX_WAIT_MS)?;
+        self.node.member.check()?;
+        self.node.config.check()?;
+        Ok(())
     }
 }
 
