--- a/daemon/src/http/problem.rs
+++ b/daemon/src/http/problem.rs
@@ -5,7 +5,7 @@
     actix_web::{HttpResponse, HttpResponseBuilder, http::StatusCode},
     monsoon_lib::{
         call::{Reason, Refusal},
-        node::Limit,
+        rate::Limit,
     },
     serde::Serialize,
 };
--- a/daemon/src/machine/event.rs
+++ b/daemon/src/machine/event.rs
@@ -7,7 +7,8 @@
     monsoon_lib::{
         call::{Offer, Refusal},
         config, id, member,
-        node::{self, Door, Ended, Event, Head, Limit, Returned, Trailer},
+        node::{self, Door, Ended, Event, Head, Returned, Trailer},
+        rate::Limit,
     },
     tokio::sync::oneshot,
 };
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -17,7 +17,7 @@
 pub use {
     control::Message,
     dump::{Counts, Dump, Explained, Gauges},
-    event::{Action, Door, Ended, Event, Head, Limit, Returned, Trailer},
+    event::{Action, Door, Ended, Event, Head, Returned, Trailer},
     settings::Settings,
 };
 
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -9,7 +9,7 @@
     crate::{
         admission::Kind,
         call::{Offer, Outcome, Reason, Refusal},
-        id, pressure, retry,
+        id, pressure, rate, retry,
         unit::Bytes,
     },
     std::time::Duration,
@@ -21,37 +21,48 @@
 impl Node {
     /// Starts the next attempt of a call.
     pub(super) fn dispatch(&mut self, call: id::Call) {
-        let now = self.now;
         let Some(state) = self.calls.get_mut(&call) else { return };
-        let pool = state.offer.pool.clone();
-        let is_first = state.attempts == 0;
         state.attempts += 1;
-        let Some(state) = self.calls.get(&call) else { return };
-        let mut excluded = state.tried.clone();
-        excluded.extend(self.owner_to_avoid(state));
-        let picker = self.pickers.get_mut(&pool);
-        let Some(vm) = picker.and_then(|picker| picker.pick(now, &excluded)) else {
+        let is_first = state.attempts == 1;
+        let pool = state.offer.pool.clone();
+        let Some(vm) = self.pick(call, &pool) else {
             return self.settle(call, Refusal::not_run(Reason::NoTarget), true);
         };
         if is_first {
-            self.retries.first_send(now, &pool);
-        }
-        if let Some(picker) = self.pickers.get_mut(&pool) {
-            picker.started(&vm);
+            self.retries.first_send(self.now, &pool);
         }
         let claim = self.calls.get(&call).and_then(|state| self.claim(state, &vm));
-        let Some(state) = self.calls.get_mut(&call) else { return };
-        state.offer.claim = claim;
+        if let Some(state) = self.calls.get_mut(&call) {
+            state.offer.claim = claim;
+        }
         if vm == self.me {
             self.hear_own_gate(&pool);
-            return self.admit(call);
+            self.admit(call);
+        } else {
+            self.forward(call, vm);
         }
+    }
+
+    /// Picks a VM of the pool that has not refused the call yet.
+    fn pick(&mut self, call: id::Call, pool: &id::Pool) -> Option<id::Vm> {
+        let state = self.calls.get(&call)?;
+        let mut excluded = state.tried.clone();
+        excluded.extend(self.owner_to_avoid(state));
+        let picker = self.pickers.get_mut(pool)?;
+        let vm = picker.pick(self.now, &excluded)?;
+        picker.started(&vm);
+        Some(vm)
+    }
+
+    fn forward(&mut self, call: id::Call, to: id::Vm) {
+        let now = self.now;
+        let Some(state) = self.calls.get_mut(&call) else { return };
         let part = state.budget.split();
         let retries = part.size();
         let remaining = state.remaining(now).saturating_sub(HOP_MARGIN);
         let offer = Offer { remaining, retries, ..state.offer.clone() };
-        state.stage = Stage::Forwarded { to: vm.clone(), since: now, part };
-        self.act(Action::Forward { call, to: vm, offer });
+        state.stage = Stage::Forwarded { to: to.clone(), since: now, part };
+        self.act(Action::Forward { call, to, offer });
     }
 
     /// Takes what a peer made of a call.
@@ -63,7 +74,11 @@
             state.stage = stage;
             return;
         };
-        state.budget.give_back(part, trailer.unspent);
+        let unspent = match returned {
+            Returned::Unreachable => part.size(),
+            _ => trailer.unspent,
+        };
+        state.budget.give_back(part, unspent);
         let pool = state.offer.pool.clone();
         merge(&mut state.pools, &trailer.pools);
         self.learn(&pool, &to, trailer.pressure);
@@ -158,7 +173,14 @@
         self.counts.refused(refusal.reason);
         self.report_refused(call, &state, refusal.outcome);
         let trailer = self.trailer(&state);
-        self.act(Action::Refuse { call, refusal, trailer, limit: None });
+        let limit = self.limit_of(&state, refusal.reason);
+        self.act(Action::Refuse { call, refusal, trailer, limit });
+    }
+
+    /// Returns what the account has left, where its rate decided.
+    fn limit_of(&self, state: &Call, reason: Reason) -> Option<rate::Limit> {
+        let account = state.offer.account.as_ref().filter(|_| reason == Reason::Rate)?;
+        self.ledger.limit(account)
     }
 
     /// Ends a call with the answer that the driver holds.
--- a/lib/src/node/event.rs
+++ b/lib/src/node/event.rs
@@ -4,8 +4,8 @@
     super::control::Message,
     crate::{
         call::{Offer, Refusal},
-        config, context, id, key, member, pressure, table,
-        unit::{Bytes, Rate, Revision},
+        config, context, id, key, member, pressure, rate, table,
+        unit::{Bytes, Revision},
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -198,7 +198,7 @@
         /// News for the one who waits, where it is a peer.
         trailer: Trailer,
         /// What the account has left, where its rate decided.
-        limit: Option<Limit>,
+        limit: Option<rate::Limit>,
     },
     /// Keep the answer that the driver holds for the call, until [`Action::Forget`].
     Keep {
@@ -250,12 +250,3 @@
     /// All work is finished after [`Event::Draining`]; the process may end.
     Exit,
 }
-
-/// What an account has left of its rate, for the rate-limit fields of an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Limit {
-    /// Requests a second that the account bought.
-    pub rate: Rate,
-    /// Whole requests that this node could admit at once.
-    pub remaining: u64,
-}
