--- a/bench/src/commands/latency.rs
+++ b/bench/src/commands/latency.rs
@@ -56,7 +56,9 @@
         print_ways(&ways, self.rate);
         let names = fleet.vms().iter().map(|vm| vm.place.vm.clone());
         let busy = fleet.vms().iter().map(|vm| Usage::of(vm.node.pid()));
-        print_usage(names, &idle, busy, elapsed);
+        // The serving node takes requests of its own callers and those that the entry node sends.
+        let requests = [2 * effort.requests, effort.requests];
+        print_usage(names, &idle, busy, requests, elapsed);
         Ok(())
     }
 }
@@ -86,17 +88,20 @@
     names: impl Iterator<Item = String>,
     idle: &[Usage],
     busy: impl Iterator<Item = Usage>,
+    requests: [u32; 2],
     elapsed: f64,
 ) {
-    let row = |((name, idle), busy): ((String, &Usage), Usage)| {
+    let row = |(((name, idle), busy), requests): (((String, &Usage), Usage), u32)| {
+        let cpu_s = busy.cpu_s - idle.cpu_s;
         vec![
             name,
             format!("{:.1}", idle.resident_mb),
             format!("{:.1}", busy.resident_mb),
-            format!("{:.1}", (busy.cpu_s - idle.cpu_s) / elapsed * 100.0),
+            format!("{:.1}", cpu_s / elapsed * 100.0),
+            format!("{:.0}", f64::from(requests) / cpu_s),
         ]
     };
-    let rows: Vec<Vec<String>> = names.zip(idle).zip(busy).map(row).collect();
+    let rows: Vec<Vec<String>> = names.zip(idle).zip(busy).zip(requests).map(row).collect();
     println!();
-    text::print(&["node", "idle MB", "busy MB", "% of a core"], &rows);
+    text::print(&["node", "idle MB", "busy MB", "% of a core", "requests a core-second"], &rows);
 }
