balance: the factor towards other data centres falls as the near target fills

A target with published slots is no slower at half load, so there is no gain in going elsewhere. The defaults leave the project's own deployments as they were.

--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -17,14 +17,22 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// The load up to which a target in the own data centre counts as one that has room.
+const ROOMY_LOAD: f64 = 0.5;
+/// The load above which a target in the own data centre counts as nearly full.
+const BUSY_LOAD: f64 = 0.85;
+
 /// How a picker decides.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The targets that a pick compares in the own data centre, and again in the others.
     pub choices: usize,
-    /// The factor by which a target elsewhere has to be cheaper than one in the own data centre.
+    /// The factor by which a target elsewhere has to be cheaper than one in the own data centre
+    /// that has room.
     pub remote_factor: f64,
+    /// The same towards a target in the own data centre that is nearly full.
+    pub busy_remote_factor: f64,
     /// The age at which a report is no longer used, in milliseconds.
     pub report_age_ms: u64,
     /// Broken calls in a row that eject a target.
@@ -46,6 +54,7 @@
         Self {
             choices: 2,
             remote_factor: 1.5,
+            busy_remote_factor: 1.5,
             report_age_ms: 500,
             eject_broken: 3,
             eject_failed_share: 0.5,
@@ -138,7 +147,9 @@
         let near = self.cheapest(now, near);
         let far = self.cheapest(now, far);
         let chosen = match (near, far) {
-            (Some(near), Some(far)) if far.1 * self.settings.remote_factor < near.1 => Some(far),
+            (Some(near), Some(far)) if far.1 * self.remote_factor(now, near.0) < near.1 => {
+                Some(far)
+            }
             (near, far) => near.or(far),
         };
         let chosen = chosen.or_else(|| self.cheapest(now, ejected));
@@ -183,6 +194,15 @@
         Dump { members: self.members.iter().map(status).collect() }
     }
 
+    /// The factor towards a near target falls with its load, because the way to another data centre
+    /// costs less than a wait.
+    fn remote_factor(&self, now: Instant, near: usize) -> f64 {
+        let load = self.members[near].load_share(now, &self.settings);
+        let busy = ((load - ROOMY_LOAD) / (BUSY_LOAD - ROOMY_LOAD)).clamp(0.0, 1.0);
+        let Settings { remote_factor, busy_remote_factor, .. } = self.settings;
+        remote_factor + (busy_remote_factor - remote_factor) * busy
+    }
+
     fn find(&mut self, vm: &id::Vm) -> Option<&mut Member> {
         self.members.iter_mut().find(|member| member.vm == *vm)
     }
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -233,7 +233,7 @@
     }
 
     /// The busy part of the target: as reported, with the calls sent from here since then.
-    fn load_share(&self, now: Instant, settings: &Settings) -> f64 {
+    pub fn load_share(&self, now: Instant, settings: &Settings) -> f64 {
         if now < self.full_until {
             return 1.0;
         }
