mesh: targets that are cut off from the platform stay in use; a leaving node refuses its peers

Cause 1: a target that can't reach the platform loses its entry after three silent heartbeats though peers reach it. Change: a target without an entry is kept for 0.8 s while its node is asked. That node vouches for it while it can't read the platform itself and the target passes a health check, which a leaving one does not. Ruled out: lost links (no peer was lost), keys (confirmed all the time), rates. Test: cut_off::lapsed_entry fails on the code before; leaving_behind_cut and removed_entry guard the other side.

A peer that had not heard of the leaving, or got a hello on a new link after it, went on to send. Change: a hello says whether its node is leaving, and requests of peers are refused as not run once callers are closed. Test: leaving::restarted_beside_a_leaving_peer, 125 runs at the leaving node before, none after.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -15,6 +15,7 @@
 mod socket;
 mod sync;
 mod target;
+mod vouch;
 
 pub use {
     process::{Error, Settings, run},
@@ -37,6 +38,7 @@
     },
     target::Target,
     tokio::sync::{Notify, oneshot},
+    vouch::Vouch,
 };
 
 /// What all tasks of the process share.
@@ -50,8 +52,11 @@
     waits: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
     numbers: Cell<u64>,
     open: Cell<usize>,
+    /// Whether peers are refused, because the node has told them that it leaves.
+    is_closed: Cell<bool>,
     news: Notify,
     read: Cell<Option<Instant>>,
+    vouch: Vouch,
 }
 
 impl<N: Names, D: Directory> Mesh<N, D> {
--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -5,6 +5,7 @@
     hyper::{HeaderMap, http::request::Parts},
     monsoon_lib::{
         call::Refusal,
+        id,
         mesh::{
             fact::Fact,
             node::{Head, Served},
@@ -58,6 +59,9 @@
     /// Returns how a caller is told a refusal.
     fn told(&self, refusal: &Refusal, request: Option<&str>) -> Told;
 
+    /// Returns the name of the life that answered a health check, unless it fails or is leaving.
+    fn healthy(&self, status: u16, headers: &HeaderMap) -> Option<id::Vm>;
+
     /// Tells whether a request on the readiness address asks for the node's readiness.
     fn is_readiness(&self, parts: &Parts) -> bool;
 }
@@ -102,4 +106,7 @@
 
     /// Reads the newest document, as it is at a moment between call and return.
     fn document(&self) -> impl Future<Output = Result<Option<Fact>, Error>>;
+
+    /// Finds out at the least cost whether the directory can be read.
+    fn probe(&self) -> impl Future<Output = Result<(), Error>>;
 }
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -31,10 +31,12 @@
 /// What a node sends on a link that it opened.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Ask {
-    /// The node started.
+    /// Tells who opened the link.
     Hello {
-        /// Its data centre.
+        /// The data centre of the node.
         data_centre: id::DataCentre,
+        /// Whether the node is leaving, and so takes no new requests.
+        is_leaving: bool,
     },
     /// The node is leaving.
     Leaving,
@@ -60,6 +62,11 @@
     },
     /// Tells the coordinator what the node was asked for.
     Demand(Demand),
+    /// Asks whether the peer's own target lives though its entry went away.
+    Vouch {
+        /// The target's life.
+        target: id::Vm,
+    },
     /// Asks for a sign of life.
     Ping,
 }
@@ -88,6 +95,8 @@
     },
     /// The shares of the sold rates, once they are known.
     Shares(Option<Shares>),
+    /// Whether the node vouches for its target.
+    Vouched(bool),
     /// A sign of life.
     Pong,
 }
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -73,6 +73,7 @@
     quiet: Rc<RefCell<BTreeSet<IpAddr>>>,
     opening: RefCell<HashMap<IpAddr, Rc<tokio::sync::Mutex<()>>>>,
     numbers: Cell<u64>,
+    is_leaving: Cell<bool>,
 }
 
 /// A question that waits for its answer. Dropping it tells the peer that nobody waits any more.
@@ -105,9 +106,20 @@
             quiet: Rc::default(),
             opening: RefCell::default(),
             numbers: Cell::default(),
+            is_leaving: Cell::default(),
         }
     }
 
+    /// From now on, links that open tell that this node is leaving.
+    pub fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Returns what this node says first on a link.
+    pub fn hello(&self) -> Ask {
+        Ask::Hello { data_centre: self.data_centre.clone(), is_leaving: self.is_leaving.get() }
+    }
+
     /// Asks a peer and waits for its answer.
     ///
     /// # Errors
@@ -169,9 +181,8 @@
         }
         let stream = socket::connect_from(self.me, SocketAddr::new(host, self.port)).await?;
         let link = start(stream, host, self.quiet.clone());
-        let hello = Ask::Hello { data_centre: self.data_centre.clone() };
         // The writer lives until the link breaks, so a hello that can't be sent is of no use.
-        let _ = link.frames.send(frame::encode(0, hello, Bytes::new())?);
+        let _ = link.frames.send(frame::encode(0, self.hello(), Bytes::new())?);
         self.links.borrow_mut().insert(host, link.clone());
         Ok(link)
     }
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -4,12 +4,16 @@
     super::{
         Mesh,
         adapter::{Directory, Names},
-        frame::{self, Answer, Ask, Frame, Numbered},
+        frame::{self, Answer, Ask, End, Frame, Numbered},
         link, socket,
     },
     crate::{clock, http::message::Request},
     bytes::{Bytes, BytesMut},
-    monsoon_lib::{time::Instant, unit::Revision},
+    monsoon_lib::{
+        call::{Reason, Refusal},
+        time::Instant,
+        unit::Revision,
+    },
     std::{cell::RefCell, collections::HashMap, net::IpAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -80,13 +84,24 @@
     let mesh = &link.mesh;
     let now = clock::now();
     match ask {
-        Ask::Hello { data_centre } => {
+        Ask::Hello { data_centre, is_leaving: false } => {
             mesh.node.borrow_mut().peers_mut().started(now, link.host, data_centre);
         }
+        Ask::Hello { data_centre, is_leaving: true } => {
+            let mut node = mesh.node.borrow_mut();
+            node.peers_mut().heard(now, link.host, Some(data_centre));
+            node.peers_mut().leaving(now, link.host);
+        }
         Ask::Leaving => {
             log::info!(host:% = link.host; "a peer is leaving");
             mesh.node.borrow_mut().peers_mut().leaving(now, link.host);
         }
+        Ask::Run { served, .. } if mesh.is_closed.get() => {
+            let request = served.request.as_str();
+            log::info!(request, host:% = link.host; "refused to a peer, this node is leaving");
+            let end = End::Refused(Refusal::not_run(Reason::Leaving));
+            answer(link, number, Answer::Ended { end, load: None }, Bytes::new());
+        }
         Ask::Run { served, method, target, fields } => {
             let request = Rc::new(Request { method, target, fields, body });
             let task = run(link.clone(), number, served, request);
@@ -107,6 +122,13 @@
             let shares = mesh.node.borrow_mut().coordinator().hear(now, link.host, demand);
             answer(link, number, Answer::Shares(shares), Bytes::new());
         }
+        Ask::Vouch { target } => {
+            let link = link.clone();
+            tokio::task::spawn_local(async move {
+                let is_vouched = link.mesh.vouches_for(&target).await;
+                answer(&link, number, Answer::Vouched(is_vouched), Bytes::new());
+            });
+        }
         Ask::Ping => answer(link, number, Answer::Pong, Bytes::new()),
     }
 }
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -10,6 +10,7 @@
         metrics::Metrics,
         peers,
         target::Target,
+        vouch::Vouch,
     },
     monsoon_lib::mesh::node::{self, Node},
     std::{
@@ -94,7 +95,7 @@
     let readiness = listen("readiness", settings.readiness).await?;
     let data_centre = settings.node.data_centre.clone();
     let mesh = Rc::new(Mesh {
-        links: Links::new(settings.node.host, settings.peers.port(), data_centre.clone()),
+        links: Links::new(settings.node.host, settings.peers.port(), data_centre),
         target: Target::new(settings.node.target),
         node: RefCell::new(Node::new(settings.node, rand::random())),
         names,
@@ -103,8 +104,10 @@
         waits: RefCell::default(),
         numbers: Cell::default(),
         open: Cell::default(),
+        is_closed: Cell::default(),
         news: Notify::new(),
         read: Cell::default(),
+        vouch: Vouch::default(),
     });
     let (close, closing) = watch::channel(false);
     let spawn = |listener, door| {
@@ -121,7 +124,7 @@
     let starter = mesh.clone();
     tokio::task::spawn_local(async move {
         starter.wait_for_tables(FIRST_TABLES).await;
-        starter.announce(Ask::Hello { data_centre }).await;
+        starter.announce(starter.links.hello()).await;
     });
     log::info!(version = env!("CARGO_PKG_VERSION"); "started");
     wait_for_signal(&mut reloaded).await?;
@@ -159,6 +162,8 @@
     mesh.node.borrow_mut().leave();
     // Until callers have heard of it, the node goes on to serve its target to peers as well.
     tokio::time::sleep_until((start + LEAVE_OPEN).min(end)).await;
+    mesh.links.leave();
+    mesh.is_closed.set(true);
     mesh.announce(Ask::Leaving).await;
     callers.abort();
     close.send_replace(true);
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -65,7 +65,7 @@
         self.node.borrow().lease().age(clock::now()).is_none_or(|age| age > STALE)
     }
 
-    fn learned(&self, changes: Changes, from: &str) {
+    fn learned(self: &Rc<Self>, changes: Changes, from: &str) {
         if let Some(revision) = changes.table {
             log::info!(revision:% = revision, from; "tables in force");
         }
@@ -73,6 +73,8 @@
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
             log::info!(position:% = node.facts().position(), targets, from; "targets changed");
+            drop(node);
+            self.ask_for_missing();
         }
         self.news.notify_waiters();
     }
@@ -172,7 +174,7 @@
         }
     }
 
-    async fn ask_facts(&self, host: IpAddr) -> bool {
+    async fn ask_facts(self: &Rc<Self>, host: IpAddr) -> bool {
         let after = self.node.borrow().facts().position();
         let wait = match self.is_stale() {
             true => Duration::ZERO,
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -17,6 +17,7 @@
     hyper_util::rt::TokioIo,
     monsoon_lib::{
         call::{Reason, Refusal},
+        id,
         mesh::node::Served,
     },
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
@@ -28,6 +29,8 @@
 /// How long a target may take to answer after the time that it was given. It ends a run at that
 /// time by itself and says so.
 const LATE_GRACE: Duration = Duration::from_millis(120);
+/// How long a health check may take. It waits for a slot like a request.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 /// The idle time after which a connection is not used again where the target names none.
 const UNNAMED_IDLE: Duration = Duration::from_millis(1_500);
 /// What is kept back of the idle time that a target names, so that no request crosses its close.
@@ -167,6 +170,33 @@
         Ok((sender, Connection(task)))
     }
 
+    /// Asks the target whether it is healthy and not leaving. Returns the name of its life.
+    pub async fn health<N: Names>(&self, names: &N, path: &str) -> Option<id::Vm> {
+        let check = async {
+            let request = Request {
+                method: "GET".into(),
+                target: path.into(),
+                fields: Vec::new(),
+                body: Bytes::new(),
+            };
+            let message = message(&request, Vec::new()).map_err(io::Error::other)?;
+            let (mut sender, _connection) = self.connection(false).await?;
+            let response = sender.send_request(message).await.map_err(io::Error::other)?;
+            Ok::<_, io::Error>(names.healthy(response.status().as_u16(), response.headers()))
+        };
+        match tokio::time::timeout(HEALTH_TIMEOUT, check).await {
+            Ok(Ok(name)) => name,
+            Ok(Err(error)) => {
+                log::info!(error:% = error; "no answer to a health check");
+                None
+            }
+            Err(_) => {
+                log::info!("no answer to a health check in time");
+                None
+            }
+        }
+    }
+
     fn keep(&self, sender: SendRequest<Full<Bytes>>, connection: Connection, headers: &HeaderMap) {
         let is_closing = headers.get(CONNECTION).is_some_and(|value| {
             value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
--- a/lib/src/mesh/fleet.rs
+++ b/lib/src/mesh/fleet.rs
@@ -1,7 +1,9 @@
 //! The targets that exist, as their entries tell.
 //!
 //! An entry that goes away while the platform can't be read or has just come back may belong to a
-//! target that lives, so it is kept for [`RETURN_HOLD`] after the return.
+//! target that lives, so it is kept for [`RETURN_HOLD`] after the return. The same holds for the
+//! entry of a target that is cut off from the platform alone, so the node beside each target whose
+//! entry went away is asked, and the target is kept while that node vouches for it.
 
 use {
     super::fact::Target,
@@ -11,7 +13,12 @@
 
 /// How long entries may stay away after the platform is back: targets that live renew theirs
 /// within about two seconds.
-const RETURN_HOLD: Duration = Duration::from_millis(2_300);
+pub const RETURN_HOLD: Duration = Duration::from_millis(2_300);
+/// How long a target without an entry is kept until its node was asked. Targets serve on for two
+/// seconds after their entry went away.
+const DOUBT: Duration = Duration::from_millis(800);
+/// How long the word of a target's node holds. It is asked again before that.
+const VOUCHED: Duration = Duration::from_millis(2_000);
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -40,19 +47,27 @@
 
     /// Notes that an entry went away.
     pub fn remove(&mut self, now: Instant, name: &id::Vm) {
-        let until = self.outage_seen.map(|seen| seen + RETURN_HOLD).filter(|until| *until > now);
-        match until {
-            None => {
-                self.entries.remove(name);
-            }
-            Some(until) => {
-                if let Some(entry) = self.entries.get_mut(name) {
-                    entry.gone_until = Some(until);
-                }
-            }
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.gone_until = Some(now + DOUBT);
         }
     }
 
+    /// Returns the targets whose entries went away and that are kept for now.
+    pub fn missing(&self) -> impl Iterator<Item = &Target> {
+        let missing = self.entries.values().filter(|entry| entry.gone_until.is_some());
+        missing.map(|entry| &entry.target)
+    }
+
+    /// Notes whether the node of a target without an entry vouches for it: that it lives, is not
+    /// leaving and can't reach the platform.
+    pub fn vouched(&mut self, now: Instant, name: &id::Vm, is_vouched: bool) {
+        let Some(entry) = self.entries.get_mut(name).filter(|entry| entry.gone_until.is_some())
+        else {
+            return;
+        };
+        entry.gone_until = Some(if is_vouched { now + VOUCHED } else { now });
+    }
+
     /// Notes that the platform could not be read just now.
     pub fn outage(&mut self, now: Instant) {
         self.outage_seen = Some(now);
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -15,7 +15,7 @@
 
 use {
     super::{
-        fact::{Fact, Facts, Key, Value},
+        fact::{Fact, Facts, Key, Target, Value},
         fleet::Fleet,
         gate::Gate,
         lease::Lease,
@@ -43,6 +43,13 @@
     wheel::Wheel,
 };
 
+/// The factor by which a target elsewhere has to be cheaper than one in the own data centre. Bytes
+/// between data centres are paid for, and a target with published slots is not slower at half load.
+const REMOTE_FACTOR: f64 = 3.0;
+/// The same towards a target in the own data centre that is nearly full. The way elsewhere takes a
+/// millisecond or two.
+const BUSY_REMOTE_FACTOR: f64 = 1.2;
+
 /// What a node has to know of itself and of its deployment.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -215,6 +222,19 @@
         self.lease.confirm(at);
     }
 
+    /// Returns the targets whose entries went away and that are kept for now.
+    pub fn missing(&self) -> impl Iterator<Item = &Target> {
+        self.fleet.missing()
+    }
+
+    /// Takes in whether the node of a target without an entry vouches for it.
+    pub fn vouched(&mut self, now: Instant, name: &id::Vm, is_vouched: bool) {
+        self.fleet.vouched(now, name, is_vouched);
+        if self.fleet.tick(now) {
+            self.refresh(now);
+        }
+    }
+
     /// Notes that the platform could not be read.
     pub fn outage(&mut self, now: Instant) {
         self.fleet.outage(now);
@@ -306,7 +326,12 @@
             if !self.pickers.contains_key(&pool) {
                 let data_centre = self.settings.data_centre.clone();
                 let seed = self.random.random();
-                let mut picker = Picker::new(balance::Settings::default(), data_centre, seed);
+                let settings = balance::Settings {
+                    remote_factor: REMOTE_FACTOR,
+                    busy_remote_factor: BUSY_REMOTE_FACTOR,
+                    ..balance::Settings::default()
+                };
+                let mut picker = Picker::new(settings, data_centre, seed);
                 picker.members(now, &targets);
                 self.pickers.insert(pool, picker);
             }
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -353,7 +353,9 @@
         Returned::Answered { has_failed: false } => Kind::Ok,
         Returned::Answered { has_failed: true } => Kind::Failed,
         Returned::Refused(refusal) | Returned::Declined(refusal) => match refusal.outcome {
-            Outcome::NotRun if refusal.reason == Reason::Overload => Kind::Shed,
+            Outcome::NotRun if matches!(refusal.reason, Reason::Overload | Reason::Leaving) => {
+                Kind::Shed
+            }
             _ => Kind::Broken,
         },
         Returned::Lost(_) => Kind::Broken,
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -120,6 +120,8 @@
     pub routes: Vec<Route>,
     /// The accounts. Without any, no request needs a key.
     pub accounts: Vec<Account>,
+    /// The paths of health checks, for pools that have one.
+    pub health: BTreeMap<id::Pool, String>,
     /// The bounds.
     pub bounds: Bounds,
 }
@@ -132,6 +134,7 @@
     accounts: BTreeMap<id::Account, Arc<Account>>,
     by_key: HashMap<Digest, Arc<Account>>,
     pools: BTreeSet<id::Pool>,
+    health: BTreeMap<id::Pool, String>,
     bounds: Bounds,
 }
 
@@ -148,6 +151,7 @@
             accounts: BTreeMap::new(),
             by_key: HashMap::new(),
             pools: BTreeSet::new(),
+            health: document.health,
             bounds: document.bounds,
         };
         for route in document.routes {
@@ -200,6 +204,11 @@
         &self.bounds
     }
 
+    /// Returns the path of a pool's health checks, where it has one.
+    pub fn health(&self, pool: &id::Pool) -> Option<&str> {
+        self.health.get(pool).map(String::as_str)
+    }
+
     /// Returns the pools that routes lead to.
     pub fn pools(&self) -> &BTreeSet<id::Pool> {
         &self.pools
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -12,6 +12,7 @@
     },
     serde_json::{Value, json},
     std::{
+        collections::BTreeSet,
         fs::{self, File},
         io,
         net::{Ipv4Addr, SocketAddr},
@@ -242,6 +243,9 @@
         tenants: &[(&str, &[&str], u64)],
     ) {
         self.version += 3;
+        let served: BTreeSet<&str> = routes.iter().map(|route| route.2).collect();
+        let services: Vec<Value> =
+            served.iter().map(|service| json!([service, "/health"])).collect();
         let route = |(i, (prefix, kind, service, objective, open)): (usize, &(_, _, _, _, _))| {
             json!([
                 format!("r-{i}"),
@@ -265,7 +269,7 @@
             "routes": {"columns": ["name", "host", "prefix", "kind", "timeout_ms",
                 "target_latency_ms", "priority", "traffic_split", "max_attempts", "public",
                 "service"], "rows": routes},
-            "services": {"columns": ["name"], "rows": []},
+            "services": {"columns": ["name", "health_path"], "rows": services},
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -66,6 +66,7 @@
 #[derive(Debug)]
 struct State {
     behaviour: Behaviour,
+    is_healthy: bool,
     work: Duration,
     runs: Vec<Run>,
 }
@@ -99,8 +100,12 @@
     /// Returns the error of the system when the address can't be bound.
     pub async fn start(address: SocketAddr, id: &str, slots: usize) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let state =
-            State { behaviour: Behaviour::Whole, work: Duration::from_millis(5), runs: Vec::new() };
+        let state = State {
+            behaviour: Behaviour::Whole,
+            is_healthy: true,
+            work: Duration::from_millis(5),
+            runs: Vec::new(),
+        };
         let shared = Arc::new(Shared {
             id: id.into(),
             slots,
@@ -139,6 +144,11 @@
         state.work = work;
     }
 
+    /// Sets the answer to health checks. A server that is leaving fails them.
+    pub fn set_healthy(&self, is_healthy: bool) {
+        self.state().is_healthy = is_healthy;
+    }
+
     /// Returns all requests that came in so far.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -190,6 +200,13 @@
 
 /// Serves one request. Returns nothing where the connection is over.
 async fn serve(shared: &Shared, stream: &mut TcpStream, run: Run) -> Option<()> {
+    if run.head.starts_with("GET /health ") {
+        let is_healthy = shared.state.lock().expect("the server's state").is_healthy;
+        let status = if is_healthy { "200 OK" } else { "503 Leaving" };
+        let id = &shared.id;
+        let head = format!("HTTP/1.1 {status}\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+        return stream.write_all(head.as_bytes()).await.ok();
+    }
     let id = run.field("x-request-id").unwrap_or_default().to_owned();
     let expected = run.field("x-expect-instance").map(str::to_owned);
     if expected.is_some_and(|expected| expected != shared.id) {
