mesh: calls take over rank and lot of the run that makes them; resends by lot

Cause: calls of targets carried no rank, so those of browsing went before bookings of callers, and each call was refused or resent for itself: with five calls a request, most requests lost one. Resends of each level had a fixed quarter of the bound, because calls of a repeated run count as repeats too. Change: the node beside a target keeps the runs; a call whose id extends a run's takes over its rank and whether it is a repeat. Lots drawn from the id of the first request decide among equals in a queue and on resends. Repeats that are inherited use the bound up first; failed runs take at most a quarter of it. Where calls can't be traced, four levels share the bound. A target that declined may be tried again. What did not run is given back to the account's share.

--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -80,6 +80,8 @@
         end: End,
         /// The load of the target, where it is known.
         load: Option<pressure::Report>,
+        /// Whether the node traced calls to the runs that make them.
+        is_traced: bool,
     },
     /// Facts.
     Facts {
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -17,6 +17,7 @@
         id,
         mesh::{
             gate::{Decision, Release},
+            lineage::Lineage,
             node::Served,
         },
         time::Instant,
@@ -29,6 +30,7 @@
 struct Place<N: Names, D: Directory> {
     mesh: Rc<Mesh<N, D>>,
     call: id::Call,
+    request: String,
     started: Instant,
     is_running: bool,
     has_answer: bool,
@@ -41,6 +43,9 @@
         let latency = self.has_answer.then(|| now - self.started);
         let releases = {
             let mut node = self.mesh.node.borrow_mut();
+            if self.is_running {
+                node.runs().end(&self.request);
+            }
             match self.is_running || !node.gate().cancel(self.call) {
                 true => node.gate().done(now, self.call, latency),
                 false => Vec::new(),
@@ -77,14 +82,22 @@
         }
         let call = self.next_call();
         let decision = self.node.borrow_mut().gate().offer(now, call, &served.ask(now));
-        let mut place =
-            Place { mesh: self.clone(), call, started: now, is_running: false, has_answer: false };
+        let mut place = Place {
+            mesh: self.clone(),
+            call,
+            request: served.request.clone(),
+            started: now,
+            is_running: false,
+            has_answer: false,
+        };
         match decision {
             Decision::Run => {}
             Decision::Queued(until) => self.wait(call, until - now).await?,
             Decision::Refused(wait) => return Err(refused(wait)),
         }
         place.is_running = true;
+        let lineage = Lineage { rank: served.rank, is_repeat: served.is_repeat };
+        self.node.borrow_mut().runs().start(&served.request, lineage);
         place.started = clock::now();
         let remaining = served.remaining.saturating_sub(place.started - now);
         let served = Served { remaining, ..served.clone() };
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -100,7 +100,7 @@
             let request = served.request.as_str();
             log::info!(request, host:% = link.host; "refused to a peer, this node is leaving");
             let end = End::Refused(Refusal::not_run(Reason::Leaving));
-            answer(link, number, Answer::Ended { end, load: None }, Bytes::new());
+            answer(link, number, Answer::Ended { end, load: None, is_traced: false }, Bytes::new());
         }
         Ask::Run { served, method, target, fields } => {
             let request = Rc::new(Request { method, target, fields, body });
@@ -149,9 +149,13 @@
 ) {
     let _open = link.mesh.open();
     let (end, body) = link.mesh.run_own(&served, &request).await;
-    let load = Some(link.mesh.node.borrow_mut().gate().report());
     link.runs.borrow_mut().remove(&number);
-    answer(&link, number, Answer::Ended { end, load }, body);
+    let ended = {
+        let mut node = link.mesh.node.borrow_mut();
+        let load = Some(node.gate().report());
+        Answer::Ended { end, load, is_traced: node.runs().has_traced(clock::now()) }
+    };
+    answer(&link, number, ended, body);
 }
 
 async fn facts<N: Names, D: Directory>(
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -146,13 +146,16 @@
             fields: request.fields.clone(),
         };
         match self.links.ask(send.host, ask, request.body.clone()).await {
-            Ok((PeerAnswer::Ended { end, load }, body)) => {
+            Ok((PeerAnswer::Ended { end, load, is_traced }, body)) => {
                 let now = clock::now();
                 let mut node = self.node.borrow_mut();
                 node.peers_mut().heard(now, send.host, None);
                 if let End::Refused(Refusal { reason: Reason::Leaving, .. }) = end {
                     node.peers_mut().leaving(now, send.host);
                 }
+                if is_traced {
+                    node.runs().traced_elsewhere(now);
+                }
                 if let Some(load) = load {
                     node.report(now, &send.target, &load);
                 }
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -8,6 +8,8 @@
 pub mod fleet;
 pub mod gate;
 pub mod lease;
+pub mod lineage;
 pub mod node;
 pub mod quota;
+pub mod resend;
 pub mod table;
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{id, pressure, time::Instant},
+    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         time::Duration,
@@ -28,16 +29,19 @@
 /// The longest time after which a refused caller may come again.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
-/// The order of calls: the account's rank, the route's rank, and whether the caller was refused
-/// before.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+/// The order of calls: the account's rank, the route's rank, whether the caller was refused before,
+/// and a lot.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Rank {
-    /// The account's rank, 0 for calls of targets.
+    /// The account's rank, 0 where there is no account.
     pub account: u32,
     /// The route's rank.
     pub route: u32,
     /// Whether this is the first try of the caller. A second refusal is worse than a first one.
     pub is_first: bool,
+    /// What decides among equals. It is the same for all calls that follow from one request, so that
+    /// under overload some requests succeed whole instead of all in part.
+    pub lot: u8,
 }
 
 /// What the gate has to know of a call.
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -19,13 +19,14 @@
         fleet::Fleet,
         gate::Gate,
         lease::Lease,
+        lineage::Runs,
         quota::{Coordinator, Meters},
+        resend::Resends,
         table::Table,
     },
     crate::{
         balance::{self, Picker},
         id, pressure,
-        retry::{self, Ratio},
         time::Instant,
         unit::Revision,
     },
@@ -90,7 +91,8 @@
     fleet: Fleet,
     peers: Peers,
     pickers: BTreeMap<id::Pool, Picker>,
-    resends: BTreeMap<id::Pool, Ratio>,
+    resends: BTreeMap<id::Pool, Resends>,
+    runs: Runs,
     wheels: HashMap<id::Route, Wheel>,
     horizon: Horizon,
     gate: Gate,
@@ -111,6 +113,7 @@
             peers: Peers::new(settings.host, settings.data_centre.clone()),
             pickers: BTreeMap::new(),
             resends: BTreeMap::new(),
+            runs: Runs::default(),
             wheels: HashMap::new(),
             horizon: Horizon::default(),
             gate: Gate::new(0),
@@ -162,6 +165,11 @@
         &mut self.gate
     }
 
+    /// Returns the runs of the own target.
+    pub fn runs(&mut self) -> &mut Runs {
+        &mut self.runs
+    }
+
     /// Returns this node's part of the sold rates.
     pub fn meters(&mut self) -> &mut Meters {
         &mut self.meters
@@ -338,14 +346,10 @@
         }
     }
 
-    fn resends(&mut self, now: Instant, pool: &id::Pool) -> &mut Ratio {
-        let settings = retry::Settings {
-            ratio_permille: self.settings.resend_permille,
-            window_ms: self.settings.resend_window.as_millis() as u64,
-            floor_per_second: 0,
-            ..retry::Settings::default()
-        };
-        self.resends.entry(pool.clone()).or_insert_with(|| Ratio::new(now, &settings))
+    fn resends(&mut self, now: Instant, pool: &id::Pool) -> &mut Resends {
+        let Settings { resend_permille, resend_window, .. } = self.settings;
+        let resends = self.resends.entry(pool.clone());
+        resends.or_insert_with(|| Resends::new(now, resend_permille, resend_window))
     }
 }
 
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -9,6 +9,7 @@
         key::Digest,
         mesh::{
             gate::{Ask, Rank},
+            lineage::{self, Lineage},
             table::Route,
         },
         time::Instant,
@@ -32,6 +33,14 @@
 const RETRY_SHARE: u32 = 3;
 /// The sends of one request, those to nodes that refused it at their gate included.
 const MAX_SENDS: usize = 5;
+/// The levels of lots in a queue. Calls of equal rank and level run in the order in which they are due.
+const LOT_LEVELS: u8 = 16;
+/// The levels of calls that share the bound on resends where calls can't be traced to runs. The calls
+/// of a repeated run count as repeats, so each level may use only a part.
+const UNTRACED_LEVELS: f64 = 4.0;
+/// The part of the bound on resends that is left to requests which a target ran and failed. Most fail for
+/// want of a call, and each repeat makes all of its calls once more.
+const FAILED_SHARE: f64 = 0.25;
 /// The time missing from a route's usual deadline that shows a caller's second try.
 const SECOND_TRY_GAP: Duration = Duration::from_millis(60);
 
@@ -71,7 +80,13 @@
     tried: Vec<id::Vm>,
     /// The targets that may have run it.
     runs: u32,
+    /// The targets that declared that they did not run it. They may be tried again.
+    declined: Vec<id::Vm>,
     refusal: Option<Refusal>,
+    /// Whether it belongs to a run that repeats an earlier one.
+    is_repeat: bool,
+    /// Its number among the requests from which calls follow, between 0 and 1.
+    lot: f64,
 }
 
 /// The target of the next send.
@@ -125,12 +140,10 @@
     pub caller: id::Pool,
     /// The account that pays.
     pub account: Option<id::Account>,
-    /// The account's rank.
-    pub account_rank: u32,
-    /// The route's rank.
-    pub route_rank: u32,
-    /// Whether this is the first try of the caller.
-    pub is_first: bool,
+    /// Its place among others.
+    pub rank: Rank,
+    /// Whether it repeats an earlier send, or belongs to a run that does.
+    pub is_repeat: bool,
     /// Whether a second run does no harm.
     pub is_idempotent: bool,
     /// What is left of the latency objective.
@@ -142,9 +155,7 @@
 impl Served {
     /// Returns what the gate has to know.
     pub fn ask(&self, now: Instant) -> Ask {
-        let rank =
-            Rank { account: self.account_rank, route: self.route_rank, is_first: self.is_first };
-        Ask { rank, objective: self.objective, deadline: now + self.remaining }
+        Ask { rank: self.rank, objective: self.objective, deadline: now + self.remaining }
     }
 }
 
@@ -193,12 +204,20 @@
             let paid = self.meters.take(now, &account.name);
             paid.map_err(|wait| Refusal::not_run(Reason::Rate).after(wait))?;
         }
-        let rank = Rank {
-            account: account.map_or(0, |account| account.rank),
-            route: route.rank,
-            is_first,
+        let lineage = self.runs.of_call(now, &head.request);
+        let lot = lineage::lot(&head.request);
+        let rank = match lineage {
+            // The work of the run is lost with the call, so calls go before most requests.
+            Some(Lineage { rank, .. }) => Rank { lot: level(lot) / 2, ..rank },
+            None => Rank {
+                account: account.map_or(0, |account| account.rank),
+                route: route.rank,
+                is_first,
+                lot: level(lot),
+            },
         };
-        self.resends(now, &pool).first_send(now);
+        let is_repeat = lineage.is_some_and(|lineage| lineage.is_repeat);
+        self.resends(now, &pool).first_send(now, is_repeat);
         Ok(Call {
             request: head.request.clone(),
             account: account.map(|account| account.name.clone()),
@@ -209,7 +228,10 @@
             arrived: now,
             tried: Vec::new(),
             runs: 0,
+            declined: Vec::new(),
             refusal: None,
+            is_repeat,
+            lot,
         })
     }
 
@@ -245,8 +267,12 @@
         }
         avoid.extend(exclude.iter().cloned());
         let picker = self.pickers.get_mut(&call.pool);
-        let target = picker
-            .and_then(|picker| picker.pick(now, &avoid).or_else(|| picker.pick(now, &exclude)));
+        let target = picker.and_then(|picker| {
+            let untried = picker.pick(now, &avoid).or_else(|| picker.pick(now, &exclude));
+            // A target that sheds a part of its calls may take the next one.
+            exclude.retain(|target| !call.declined.contains(target));
+            untried.or_else(|| picker.pick(now, &exclude))
+        });
         let Some(target) = target else {
             return Err(self.give_up(now, call, none));
         };
@@ -267,9 +293,8 @@
             target: send.target.clone(),
             caller: self.settings.pool.clone(),
             account: call.account.clone(),
-            account_rank: call.rank.account,
-            route_rank: call.rank.route,
-            is_first: call.rank.is_first,
+            rank: call.rank,
+            is_repeat: call.is_repeat || call.runs > 0,
             is_idempotent: call.route.idempotent,
             objective: call.route.objective.saturating_sub(now - call.arrived),
             remaining: send.remaining,
@@ -298,7 +323,7 @@
         match returned {
             Returned::Answered { has_failed } => {
                 call.runs += 1;
-                match has_failed && self.may_run_again(now, call) {
+                match has_failed && self.may_run_again(now, call, FAILED_SHARE) {
                     true => Next::Again,
                     false => Next::Answer,
                 }
@@ -309,14 +334,15 @@
             }
             Returned::Declined(refusal) => {
                 call.refusal = Some(sooner(call.refusal, refusal));
-                match self.resends(now, &call.pool.clone()).take(now, true) {
+                call.declined.push(send.target.clone());
+                match self.may_resend(now, call, 1.0) {
                     true => Next::Again,
                     false => Next::Refuse(self.give_up(now, call, refusal)),
                 }
             }
             Returned::Lost(reason) => {
                 call.runs += 1;
-                match self.may_run_again(now, call) {
+                match self.may_run_again(now, call, 1.0) {
                     true => Next::Again,
                     false => Next::Refuse(Refusal::unknown(reason)),
                 }
@@ -324,24 +350,41 @@
         }
     }
 
-    fn may_run_again(&mut self, now: Instant, call: &Call) -> bool {
+    fn may_run_again(&mut self, now: Instant, call: &Call, share: f64) -> bool {
         call.route.idempotent
             && call.runs < call.route.attempts
             && call.deadline - now > LEAST_RUN
-            && self.resends(now, &call.pool.clone()).take(now, false)
+            && self.may_resend(now, call, share)
+    }
+
+    /// Takes a resend out of a share of the bound, between 0 and 1.
+    fn may_resend(&mut self, now: Instant, call: &Call, share: f64) -> bool {
+        let share = match self.runs.is_traced(now) {
+            true => share,
+            false => share.min(1.0 / UNTRACED_LEVELS),
+        };
+        self.resends(now, &call.pool).take(now, call.lot, share)
     }
 
     /// Returns the refusal of a request that is sent no more.
-    fn give_up(&self, now: Instant, call: &Call, last: Refusal) -> Refusal {
+    fn give_up(&mut self, now: Instant, call: &Call, last: Refusal) -> Refusal {
         if call.runs > 0 {
             return Refusal::unknown(Reason::Broken);
         }
+        if let Some(account) = &call.account {
+            self.meters.give_back(account);
+        }
         let refusal = call.refusal.unwrap_or(last);
         let longest = (call.deadline - now) / RETRY_SHARE;
         Refusal { retry_after: refusal.retry_after.map(|wait| wait.min(longest)), ..refusal }
     }
 }
 
+/// The place of a lot among [`LOT_LEVELS`].
+fn level(lot: f64) -> u8 {
+    (lot * f64::from(LOT_LEVELS)).min(f64::from(LOT_LEVELS - 1)) as u8
+}
+
 /// Of two refusals, returns the one that lets the caller come back sooner.
 fn sooner(before: Option<Refusal>, refusal: Refusal) -> Refusal {
     let wait = |refusal: &Refusal| refusal.retry_after.unwrap_or(Duration::MAX);
--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -32,8 +32,12 @@
 /// The part of a rate that is split evenly while a node has no demand of its account. It is more than
 /// the even part, since most such accounts have no demand at other nodes either.
 const REST_PART: f64 = 0.5;
-/// The smallest bucket, in requests, so that a small share is not lost to rounding.
-const MIN_BUCKET: f64 = 3.0;
+/// The largest bucket, in requests, that a node has for a share of less than that, so that a small
+/// share is not lost to rounding.
+const ROUNDING_BUCKET: f64 = 3.0;
+/// The sum of such buckets over all nodes, in requests: twice what the platform tolerates beyond
+/// rate and burst, as few accounts use all nodes at once. Each node has room for one request.
+const ROUNDING_SUM: f64 = 40.0;
 /// The rate that nodes admit together under demand above the sold one, in parts of it. Nodes
 /// disagree on shares for a moment, and the platform tolerates a quarter in five seconds.
 const FULL_MARGIN: f64 = 1.15;
@@ -75,6 +79,7 @@
     rate: Rate,
     burst: u64,
     share: f64,
+    least: f64,
     margin: f64,
     tokens: f64,
     filled: Instant,
@@ -84,7 +89,7 @@
 
 impl Meter {
     fn cap(&self) -> f64 {
-        (self.burst as f64 * self.share).max(MIN_BUCKET)
+        (self.burst as f64 * self.share).max(self.least)
     }
 
     fn per_s(&self) -> f64 {
@@ -116,10 +121,12 @@
                 continue;
             };
             let share = self.share_of(&account.name);
+            let least = self.least();
             let meter = self.meters.entry(account.name.clone()).or_insert_with(|| Meter {
                 rate,
                 burst: account.burst,
                 share,
+                least,
                 margin: FULL_MARGIN,
                 // A node that starts again must not hand out its burst once more.
                 tokens: 1.0,
@@ -136,6 +143,10 @@
     /// Takes in the number of nodes, which gives the shares until the first answer of a coordinator.
     pub fn set_nodes(&mut self, now: Instant, nodes: usize) {
         self.nodes = nodes;
+        let least = self.least();
+        for meter in self.meters.values_mut() {
+            meter.least = least;
+        }
         if self.shares.is_none() {
             self.apply(now);
         }
@@ -185,6 +196,11 @@
         demand
     }
 
+    /// The smallest bucket.
+    fn least(&self) -> f64 {
+        (ROUNDING_SUM / self.nodes.max(1) as f64).clamp(1.0, ROUNDING_BUCKET)
+    }
+
     fn share_of(&self, account: &id::Account) -> f64 {
         match &self.shares {
             None => 1.0 / self.nodes.max(1) as f64,
--- a/lib/src/retry/ratio.rs
+++ b/lib/src/retry/ratio.rs
@@ -49,6 +49,26 @@
         self.current.first_sends += 1;
     }
 
+    /// Counts a send that belongs to a retry made elsewhere.
+    pub fn repeated(&mut self, now: Instant) {
+        self.slide(now);
+        self.current.retries += 1;
+    }
+
+    /// Takes one retry, if a part of the ratio, between 0 and 1, has room for it.
+    pub fn take_part(&mut self, now: Instant, part: f64) -> bool {
+        self.slide(now);
+        let sends = self.current.first_sends + self.previous.first_sends;
+        let retries = self.current.retries + self.previous.retries;
+        let bound = (sends * self.permille) as f64 * part;
+        let has_room = ((retries + 1) * PERMILLE) as f64 <= bound;
+        match has_room {
+            true => self.current.retries += 1,
+            false => self.withheld += 1,
+        }
+        has_room
+    }
+
     /// Takes one retry, if the ratio has room for it.
     ///
     /// Without overload a small floor applies besides, so that a pool with little traffic gets a
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -98,9 +98,42 @@
     let one = target("t1", "10.0.0.1:80", 10);
     fleet.put(one.clone());
     fleet.remove(at(1), &one.name);
+    assert!(fleet.get(&one.name).is_some(), "its node is asked first");
+    assert_eq!(fleet.missing().count(), 1);
+    fleet.vouched(at(10), &one.name, false);
+    assert!(fleet.tick(at(10)));
     assert!(fleet.get(&one.name).is_none());
 }
 
+#[test]
+fn silent_node_of_removed_target() {
+    let mut fleet = Fleet::default();
+    let one = target("t1", "10.0.0.1:80", 10);
+    fleet.put(one.clone());
+    fleet.remove(at(1), &one.name);
+    fleet.tick(at(1_000));
+    assert!(fleet.get(&one.name).is_none(), "a second is half of the time to drain");
+}
+
+#[test]
+fn vouched_target() {
+    let mut fleet = Fleet::default();
+    let one = target("t1", "10.0.0.1:80", 10);
+    fleet.put(one.clone());
+    fleet.remove(at(1), &one.name);
+    for second in 0..10 {
+        fleet.vouched(at(10 + second * 1_000), &one.name, true);
+        fleet.tick(at(500 + second * 1_000));
+        assert!(fleet.get(&one.name).is_some(), "second {second}");
+    }
+    fleet.put(one.clone());
+    assert_eq!(fleet.missing().count(), 0, "it is back");
+    fleet.remove(at(20_000), &one.name);
+    fleet.vouched(at(20_010), &one.name, true);
+    fleet.tick(at(23_000));
+    assert!(fleet.get(&one.name).is_none(), "nobody vouched for it again");
+}
+
 #[test]
 fn lease_ends() {
     const BOUND: Duration = Duration::from_secs(5);
--- a/lib/tests/mesh_gate.rs
+++ b/lib/tests/mesh_gate.rs
@@ -18,7 +18,7 @@
 
 fn ask(now: Instant, account: u32, route: u32, is_first: bool) -> Ask {
     Ask {
-        rank: Rank { account, route, is_first },
+        rank: Rank { account, route, is_first, lot: 0 },
         objective: OBJECTIVE,
         deadline: now + Duration::from_secs(5),
     }
--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -166,6 +166,19 @@
     }
 }
 
+/// An account with a small rate uses all of many nodes.
+#[test]
+fn small_account_on_many_nodes() {
+    const SMALL: u64 = 18;
+    for seed in 0..10 {
+        let mut world = World::of(80, seed, SMALL);
+        world.play(Duration::from_secs(6), |_| 0.1);
+        world.play(Duration::from_secs(12), |_| 1.0);
+        let (worst, bound) = (world.worst_window(), bound(SMALL));
+        assert!(worst <= bound, "seed {seed}: {worst} in a window, at most {bound}");
+    }
+}
+
 #[test]
 fn restarted_nodes() {
     let mut world = World::new(13, 1);
