mesh: requests that crash targets are known again by all nodes

Cause: a request that crashes each server comes again at other machines, and nodes there knew nothing of it. Change: the node beside a target notes what ran when it stopped to take connections, and tells up to 16 peers at once and others with each tick; the existing lib::crash judges by account, method, path, query and body. Such a request is refused as not run at its first node and in front of the target.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -57,6 +57,8 @@
     news: Notify,
     read: Cell<Option<Instant>>,
     vouch: Vouch,
+    /// Calls whose connections to the own target broke, until it is known whether it crashed.
+    broken: RefCell<Vec<id::Call>>,
 }
 
 impl<N: Names, D: Directory> Mesh<N, D> {
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -8,7 +8,7 @@
     bytes::{Bytes, BytesMut},
     monsoon_lib::{
         call::{Reason, Refusal},
-        id,
+        crash, id,
         mesh::{
             fact::Fact,
             node::Served,
@@ -67,6 +67,8 @@
         /// The target's life.
         target: id::Vm,
     },
+    /// Tells of requests that may have crashed targets.
+    Crashes(crash::Message),
     /// Asks for a sign of life.
     Ping,
 }
--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -127,7 +127,7 @@
     let _open = mesh.open();
     let started = clock::now();
     let (parts, body) = request.into_parts();
-    let head = match mesh.names.head(&parts) {
+    let mut head = match mesh.names.head(&parts) {
         Ok(head) => head,
         Err(refusal) => return refuse(mesh, &refusal, None),
     };
@@ -142,6 +142,7 @@
         fields: mesh.names.passed(&parts.headers),
         body,
     };
+    head.content = request.digest();
     let reply = mesh.relay(&head, request).await;
     let mut response = match reply {
         Reply::Refused(refusal) => refuse(mesh, &refusal, Some(&head.request)),
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, Names},
-        frame::End,
+        frame::{Ask, End},
         target::Run,
     },
     crate::{
@@ -34,6 +34,7 @@
     started: Instant,
     is_running: bool,
     has_answer: bool,
+    is_broken: bool,
 }
 
 impl<N: Names, D: Directory> Drop for Place<N, D> {
@@ -46,12 +47,18 @@
             if self.is_running {
                 node.runs().end(&self.request);
             }
+            if !self.is_broken {
+                node.suspects().ended(now, self.call, self.has_answer);
+            }
             match self.is_running || !node.gate().cancel(self.call) {
                 true => node.gate().done(now, self.call, latency),
                 false => Vec::new(),
             }
         };
         self.mesh.release(releases);
+        if self.is_broken {
+            self.mesh.broken(self.call);
+        }
     }
 }
 
@@ -89,6 +96,7 @@
             started: now,
             is_running: false,
             has_answer: false,
+            is_broken: false,
         };
         match decision {
             Decision::Run => {}
@@ -96,12 +104,17 @@
             Decision::Refused(wait) => return Err(refused(wait)),
         }
         place.is_running = true;
+        if let Err(refusal) = self.node.borrow_mut().suspects().check(served.fingerprint) {
+            return Err(End::Refused(refusal));
+        }
+        self.node.borrow_mut().suspects().started(call, served.fingerprint);
         let lineage = Lineage { rank: served.rank, is_repeat: served.is_repeat };
         self.node.borrow_mut().runs().start(&served.request, lineage);
         place.started = clock::now();
         let remaining = served.remaining.saturating_sub(place.started - now);
         let served = Served { remaining, ..served.clone() };
         let run = self.target.run(&self.names, &served, request, served.is_idempotent).await;
+        place.is_broken = matches!(run, Run::Lost(Reason::Broken, _));
         match run {
             Run::Answered { has_failed, answer } => {
                 place.has_answer = true;
@@ -119,6 +132,37 @@
         }
     }
 
+    /// Finds out whether a connection broke because the target crashed. A crashed target takes no new
+    /// connections, and all that it ran is under suspicion.
+    fn broken(self: &Rc<Self>, call: id::Call) {
+        let is_probing = !self.broken.borrow().is_empty();
+        self.broken.borrow_mut().push(call);
+        if is_probing {
+            return;
+        }
+        let mesh = self.clone();
+        tokio::task::spawn_local(async move {
+            let is_alive = mesh.target.is_reachable().await;
+            let now = clock::now();
+            let calls = mesh.broken.take();
+            if is_alive {
+                let mut node = mesh.node.borrow_mut();
+                calls.into_iter().for_each(|call| node.suspects().ended(now, call, false));
+                return;
+            }
+            log::warn!(calls = calls.len(); "the target crashed");
+            mesh.node.borrow_mut().suspects().crashed(now);
+            mesh.spread_crashes().await;
+        });
+    }
+
+    /// Tells some peers what is news of crashes.
+    pub async fn spread_crashes(self: &Rc<Self>) {
+        let news = self.node.borrow_mut().crash_news(clock::now());
+        let Some((message, hosts)) = news else { return };
+        self.tell_all(hosts, &Ask::Crashes(message)).await;
+    }
+
     /// Waits for a place.
     async fn wait(&self, call: id::Call, longest: Duration) -> Result<(), End> {
         let (sender, release) = oneshot::channel();
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -122,6 +122,10 @@
             let shares = mesh.node.borrow_mut().coordinator().hear(now, link.host, demand);
             answer(link, number, Answer::Shares(shares), Bytes::new());
         }
+        Ask::Crashes(message) => {
+            log::info!(host:% = link.host, crashes = message.crashes.len(); "heard of crashes");
+            mesh.node.borrow_mut().suspects().receive(now, message);
+        }
         Ask::Vouch { target } => {
             let link = link.clone();
             tokio::task::spawn_local(async move {
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -108,6 +108,7 @@
         news: Notify::new(),
         read: Cell::default(),
         vouch: Vouch::default(),
+        broken: RefCell::default(),
     });
     let (close, closing) = watch::channel(false);
     let spawn = |listener, door| {
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -24,6 +24,9 @@
 const CONFIRM_PERIOD: Duration = Duration::from_millis(1_000);
 /// How long one wait for changes takes.
 const CHANGES_WAIT: Duration = Duration::from_secs(20);
+/// The pause between two waits for changes. Changes that come close together are read at once, since
+/// each read has a price.
+const CHANGES_PAUSE: Duration = Duration::from_millis(150);
 /// How long a peer holds a question for facts.
 const PEER_WAIT: Duration = Duration::from_millis(700);
 /// How long a question for facts may take beyond that.
@@ -107,6 +110,7 @@
                     };
                     is_listed = true;
                     self.learned(changes, "platform");
+                    tokio::time::sleep(CHANGES_PAUSE).await;
                 }
                 Err(error) => {
                     is_listed &= !matches!(error, adapter::Error::Compacted(_));
@@ -240,6 +244,7 @@
             }
             let elapsed = now - last;
             last = now;
+            self.spread_crashes().await;
             self.share_rates(elapsed).await;
         }
     }
@@ -284,6 +289,11 @@
     /// Tells all peers that this node starts or leaves.
     pub async fn announce(self: &Rc<Self>, ask: Ask) {
         let hosts: Vec<IpAddr> = self.node.borrow().peers().hosts().collect();
+        self.tell_all(hosts, &ask).await;
+    }
+
+    /// Tells some peers something that has no answer.
+    pub async fn tell_all(&self, hosts: Vec<IpAddr>, ask: &Ask) {
         let tells = hosts.into_iter().map(|host| self.links.tell(host, ask.clone()));
         for told in futures::future::join_all(tells).await {
             if let Err(error) = told {
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -170,6 +170,17 @@
         Ok((sender, Connection(task)))
     }
 
+    /// Tells whether the target takes connections.
+    pub async fn is_reachable(&self) -> bool {
+        match socket::connect(self.address).await {
+            Ok(_) => true,
+            Err(error) => {
+                log::info!(error:% = error; "the target takes no connection");
+                false
+            }
+        }
+    }
+
     /// Asks the target whether it is healthy and not leaving. Returns the name of its life.
     pub async fn health<N: Names>(&self, names: &N, path: &str) -> Option<id::Vm> {
         let check = async {
--- a/daemon/tests/late_answer.rs
+++ b/daemon/tests/late_answer.rs
@@ -32,7 +32,8 @@
     };
     let total = Generator::new(plan, fleet.all_callers()).run().await.total();
     assert_eq!(total.wrong, 0);
-    assert!(total.whole * 2 > total.sent, "only {} of {} are whole", total.whole, total.sent);
+    let (whole, sent) = (total.whole, total.sent);
+    assert!(whole * 2 > sent, "only {whole} of {sent} are whole: {total:?}");
     assert!(total.broken > 0, "nobody left early");
 }
 
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -26,13 +26,14 @@
     },
     crate::{
         balance::{self, Picker},
+        crash::{self, Suspects},
         id, pressure,
         time::Instant,
         unit::Revision,
     },
     call::Horizon,
     peers::Peers,
-    rand::{RngExt as _, SeedableRng as _},
+    rand::{RngExt as _, SeedableRng as _, seq::IteratorRandom as _},
     rand_chacha::ChaCha8Rng,
     serde::Serialize,
     std::{
@@ -51,6 +52,10 @@
 /// millisecond or two.
 const BUSY_REMOTE_FACTOR: f64 = 1.2;
 
+/// The peers that a node tells of crashes at once, and again with each tick until all have heard. A caller
+/// may send the request again within a second.
+const CRASH_PEERS: usize = 16;
+
 /// What a node has to know of itself and of its deployment.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -93,6 +98,7 @@
     pickers: BTreeMap<id::Pool, Picker>,
     resends: BTreeMap<id::Pool, Resends>,
     runs: Runs,
+    suspects: Suspects,
     wheels: HashMap<id::Route, Wheel>,
     horizon: Horizon,
     gate: Gate,
@@ -114,6 +120,11 @@
             pickers: BTreeMap::new(),
             resends: BTreeMap::new(),
             runs: Runs::default(),
+            suspects: Suspects::new(
+                settings.vm.clone(),
+                id::Incarnation(seed),
+                crash::Settings::default(),
+            ),
             wheels: HashMap::new(),
             horizon: Horizon::default(),
             gate: Gate::new(0),
@@ -170,6 +181,18 @@
         &mut self.runs
     }
 
+    /// Returns the requests that crash targets.
+    pub fn suspects(&mut self) -> &mut Suspects {
+        &mut self.suspects
+    }
+
+    /// Returns news of crashes for other nodes, and the peers that get them.
+    pub fn crash_news(&mut self, now: Instant) -> Option<(crash::Message, Vec<IpAddr>)> {
+        let message = self.suspects.spread(now, self.peers.len() + 1)?;
+        let usable = self.peers.hosts().filter(|host| self.peers.is_usable(now, *host));
+        Some((message, usable.sample(&mut self.random, CRASH_PEERS)))
+    }
+
     /// Returns this node's part of the sold rates.
     pub fn meters(&mut self) -> &mut Meters {
         &mut self.meters
@@ -251,6 +274,7 @@
     /// Does what is due by time alone. It is called about twice a second.
     pub fn tick(&mut self, now: Instant) {
         self.facts.tick(now);
+        self.suspects.tick(now);
         self.peers.tick(now);
         if self.fleet.tick(now) {
             self.refresh(now);
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -17,6 +17,7 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeSet, HashMap},
+        hash::{Hash as _, Hasher as _},
         net::IpAddr,
         sync::Arc,
         time::Duration,
@@ -57,6 +58,8 @@
     pub key: Option<Digest>,
     /// The time for which the caller waits, where it says so.
     pub patience: Option<Duration>,
+    /// The digest of what makes requests equal: method, path, query and body.
+    pub content: u64,
 }
 
 /// A request that passed all checks.
@@ -85,6 +88,8 @@
     refusal: Option<Refusal>,
     /// Whether it belongs to a run that repeats an earlier one.
     is_repeat: bool,
+    /// The digest of account and content.
+    fingerprint: u64,
     /// Its number among the requests from which calls follow, between 0 and 1.
     lot: f64,
 }
@@ -146,6 +151,8 @@
     pub is_repeat: bool,
     /// Whether a second run does no harm.
     pub is_idempotent: bool,
+    /// The digest of account and content, by which a request that crashes targets is known again.
+    pub fingerprint: u64,
     /// What is left of the latency objective.
     pub objective: Duration,
     /// The time that is left.
@@ -195,6 +202,8 @@
         if table.is_keyed() && !route.is_open && account.is_none() {
             return Err(Refusal::not_run(Reason::Key));
         }
+        let fingerprint = fingerprint(account.map(|account| &account.name), head.content);
+        self.suspects.check(fingerprint)?;
         let patience = head.patience.unwrap_or(route.timeout);
         let spent = self.horizon.spent(&route.name, patience);
         let pool = self.wheels.entry(route.name.clone()).or_default().next(&route.parts);
@@ -231,6 +240,7 @@
             declined: Vec::new(),
             refusal: None,
             is_repeat,
+            fingerprint,
             lot,
         })
     }
@@ -296,6 +306,7 @@
             rank: call.rank,
             is_repeat: call.is_repeat || call.runs > 0,
             is_idempotent: call.route.idempotent,
+            fingerprint: call.fingerprint,
             objective: call.route.objective.saturating_sub(now - call.arrived),
             remaining: send.remaining,
         }
@@ -380,6 +391,13 @@
     }
 }
 
+fn fingerprint(account: Option<&id::Account>, content: u64) -> u64 {
+    let mut hash = siphasher::sip::SipHasher13::new();
+    account.hash(&mut hash);
+    content.hash(&mut hash);
+    hash.finish()
+}
+
 /// The place of a lot among [`LOT_LEVELS`].
 fn level(lot: f64) -> u8 {
     (lot * f64::from(LOT_LEVELS)).min(f64::from(LOT_LEVELS - 1)) as u8
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -13,10 +13,16 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
+        sync::Notify,
         task::JoinHandle,
     },
 };
 
+/// A path that holds this crashes each server that begins to run it.
+pub const CRASHER: &str = "crash";
+/// How long a crashed server is away.
+const DOWN: Duration = Duration::from_millis(800);
+
 /// How a server treats a request that it runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -76,6 +82,7 @@
     slots: usize,
     running: AtomicUsize,
     most: AtomicUsize,
+    crash: Notify,
     state: Mutex<State>,
 }
 
@@ -111,14 +118,10 @@
             slots,
             running: AtomicUsize::new(0),
             most: AtomicUsize::new(0),
+            crash: Notify::new(),
             state: Mutex::new(state),
         });
-        let accepted = shared.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(connection(accepted.clone(), stream));
-            }
-        });
+        let task = tokio::spawn(listen(shared.clone(), listener));
         Ok(Self { shared, address, task })
     }
 
@@ -164,6 +167,31 @@
     }
 }
 
+/// Serves connections. A crash ends them all, and the server is back after [`DOWN`].
+async fn listen(shared: Arc<Shared>, mut listener: TcpListener) {
+    let address = listener.local_addr().expect("a bound address");
+    loop {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    connections.spawn(connection(shared.clone(), stream));
+                }
+                () = shared.crash.notified() => break,
+            }
+        }
+        drop(listener);
+        connections.shutdown().await;
+        tokio::time::sleep(DOWN).await;
+        shared.running.store(0, Ordering::SeqCst);
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(error) => panic!("the server can't come back: {error}"),
+        };
+    }
+}
+
 async fn connection(shared: Arc<Shared>, mut stream: TcpStream) {
     let mut buffer = Vec::new();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer).await {
@@ -231,7 +259,12 @@
         // The request and all later ones on this connection stay without an answer.
         std::future::pending::<()>().await;
     }
+    let is_crasher = run.head.split(' ').nth(1).is_some_and(|path| path.contains(CRASHER));
     let index = note(shared, Run { has_run: true, ..run });
+    if is_crasher {
+        shared.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
     let mut left = [0; 1];
     let is_whole = tokio::select! {
         () = tokio::time::sleep(work) => true,
