soak: a randomized fault soak of whole deployments

Real nodes as processes beside servers and a store of testutils, with a proxy between each node and the store. A seed gives the schedule: SIGTERM, SIGKILL, pauses, cuts from the store that freeze, swallow or refuse, entries that lapse behind them, servers that fail, shed, reset or spoil answers, servers that leave, faults of the store, compaction, changed keys. Callers keep their connections open. At the end it checks what callers and servers saw: run at most once, truth of not-run, own and whole answers, accounts, keys never seen by servers, withdrawn keys, rates, repeats, no older configuration, nothing cut by a node that leaves, recovery. Not covered: links between nodes and to servers have no proxy, clocks and settings files are left alone.

--- a/testutils/src/mesh.rs
+++ b/testutils/src/mesh.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod machine;
 pub mod server;
+pub mod soak;
 pub mod store;
 
 pub use {
--- a/testutils/src/mesh/client.rs
+++ b/testutils/src/mesh/client.rs
@@ -56,10 +56,14 @@
 
     /// Returns the bytes on the wire. The connection closes after the answer.
     pub fn bytes(&self) -> String {
+        self.on_connection("close")
+    }
+
+    fn on_connection(&self, connection: &str) -> String {
         let key = self.key.as_ref().map(|key| format!("Authorization: Token {key}\r\n"));
         format!(
             "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {}\r\nX-Deadline-Ms: {}\r\n{}\
-             X-Tenant: forged\r\nX-Caller-Service: forged\r\nConnection: close\r\n\
+             X-Tenant: forged\r\nX-Caller-Service: forged\r\nConnection: {connection}\r\n\
              Content-Length: {}\r\n\r\n{}",
             self.method,
             self.path,
@@ -111,6 +115,49 @@
     tokio::time::timeout(PATIENCE, exchange).await?
 }
 
+/// A connection that carries one request after the other.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the node can't be reached.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self { stream: TcpStream::connect(address).await?, buffer: Vec::new() })
+    }
+
+    /// Sends a request and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the connection ends before the answer does.
+    pub async fn exchange(&mut self, request: &Request) -> io::Result<Reply> {
+        self.stream.write_all(request.on_connection("keep-alive").as_bytes()).await?;
+        loop {
+            if let Some(length) = answer_length(&self.buffer) {
+                let answer: Vec<u8> = self.buffer.drain(..length).collect();
+                return Ok(parse(&answer));
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
+/// Returns the length of a whole answer at the start of some bytes. Nodes frame answers by length.
+fn answer_length(bytes: &[u8]) -> Option<usize> {
+    const BLANK: &[u8] = b"\r\n\r\n";
+    let head = bytes.windows(BLANK.len()).position(|window| window == BLANK)? + BLANK.len();
+    let length = parse(&bytes[..head]).field("content-length")?.parse::<usize>().ok()?;
+    (bytes.len() >= head + length).then_some(head + length)
+}
+
 fn parse(bytes: &[u8]) -> Reply {
     let text = String::from_utf8_lossy(bytes);
     let Some((head, body)) = text.split_once("\r\n\r\n") else { return Reply::default() };
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -164,12 +164,28 @@
     ///
     /// Returns the error of the system when the server or the node can't be started.
     pub async fn add(&mut self, service: &str, zone: &str, slots: usize) -> io::Result<usize> {
+        let store = self.store.address();
+        self.add_behind(service, zone, slots, store).await
+    }
+
+    /// Does the same for a machine that reaches the store at another address, such as a proxy's.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the server or the node can't be started.
+    pub async fn add_behind(
+        &mut self,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        store: SocketAddr,
+    ) -> io::Result<usize> {
         let address = fresh_address();
         let name = format!("m{}", self.machines.len());
         let id = format!("i-{name}");
         let server = Server::start(SocketAddr::from((address, SERVER)), &id, slots).await?;
         let path = self.folder.join(format!("{name}.toml"));
-        fs::write(&path, self.settings(&name, address, service, zone))?;
+        fs::write(&path, settings(&name, address, service, zone, store))?;
         let log = self.folder.join(format!("{name}.log"));
         let node = self.spawn(&path, &log)?;
         let (service, zone) = (service.to_owned(), zone.to_owned());
@@ -202,19 +218,6 @@
         Ok(())
     }
 
-    fn settings(&self, name: &str, address: Ipv4Addr, service: &str, zone: &str) -> String {
-        let store = self.store.address();
-        format!(
-            "[self]\nnode = \"{name}\"\nip = \"{address}\"\nzone = \"{zone}\"\n\
-             app_addr = \"{address}:{SERVER}\"\nservice = \"{service}\"\nunknown = 1\n\
-             [network]\nseeds = []\n[network.listen]\ninbound = \"{address}:{INBOUND}\"\n\
-             outbound = \"{address}:{OUTBOUND}\"\nready = \"{address}:{READY}\"\n\
-             [network.zones]\nza = \"r\"\nzb = \"r\"\n[platform.platform]\n\
-             address = \"{store}\"\n[terms.bounds]\ngrace_s = 6\nrevoke_ms = 5000\n\
-             retry_budget_ratio = 0.2\nbudget_window_s = 10\n"
-        )
-    }
-
     /// Writes the entry of a machine's server.
     pub fn register(&self, index: usize, state: &str) {
         let machine = &self.machines[index];
@@ -294,6 +297,18 @@
     }
 }
 
+fn settings(name: &str, address: Ipv4Addr, service: &str, zone: &str, store: SocketAddr) -> String {
+    format!(
+        "[self]\nnode = \"{name}\"\nip = \"{address}\"\nzone = \"{zone}\"\n\
+         app_addr = \"{address}:{SERVER}\"\nservice = \"{service}\"\nunknown = 1\n\
+         [network]\nseeds = []\n[network.listen]\ninbound = \"{address}:{INBOUND}\"\n\
+         outbound = \"{address}:{OUTBOUND}\"\nready = \"{address}:{READY}\"\n\
+         [network.zones]\nza = \"r\"\nzb = \"r\"\n[platform.platform]\n\
+         address = \"{store}\"\n[terms.bounds]\ngrace_s = 6\nrevoke_ms = 5000\n\
+         retry_budget_ratio = 0.2\nbudget_window_s = 10\n"
+    )
+}
+
 /// Waits for a state.
 ///
 /// # Panics
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -8,7 +8,7 @@
             Arc, Mutex, MutexGuard,
             atomic::{AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -53,6 +53,8 @@
     pub head: String,
     /// The body.
     pub body: Vec<u8>,
+    /// When it came.
+    pub at: Instant,
     /// Whether the server ran it.
     pub has_run: bool,
     /// Whether the connection stayed open until the answer.
@@ -195,7 +197,7 @@
 async fn connection(shared: Arc<Shared>, mut stream: TcpStream) {
     let mut buffer = Vec::new();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer).await {
-        let run = Run { head, body, has_run: false, is_whole: false };
+        let run = Run { head, body, at: Instant::now(), has_run: false, is_whole: false };
         if serve(&shared, &mut stream, run).await.is_none() {
             return;
         }
