--- a/daemon/src/mesh/vouch.rs
+++ b/daemon/src/mesh/vouch.rs
@@ -73,10 +73,21 @@
         }
         let ask = Ask::Vouch { target: target.clone() };
         let answer = self.links.ask(host, ask, Bytes::new());
-        matches!(
-            tokio::time::timeout(VOUCH_TIMEOUT, answer).await,
-            Ok(Ok((Answer::Vouched(true), _)))
-        )
+        match tokio::time::timeout(VOUCH_TIMEOUT, answer).await {
+            Ok(Ok((Answer::Vouched(is_vouched), _))) => is_vouched,
+            Ok(Ok(_)) => {
+                log::warn!(host:% = host; "a peer gave an answer of the wrong kind");
+                false
+            }
+            Ok(Err(error)) => {
+                log::info!(host:% = host, error:% = error; "a peer could not be asked to vouch");
+                false
+            }
+            Err(_) => {
+                log::info!(host:% = host; "a peer did not vouch in time");
+                false
+            }
+        }
     }
 
     /// Tells whether the own target is the one that is named, lives and is cut off.
@@ -96,7 +107,8 @@
     /// Returns the own target's life if its entry may be missing though it lives.
     async fn living_target(&self) -> Option<id::Vm> {
         let asked = clock::now();
-        if self.directory.probe().await.is_err() {
+        if let Err(error) = self.directory.probe().await {
+            log::info!(error:% = error; "the platform can't be reached, the own target may be cut off");
             self.vouch.unreached.set(Some(asked));
         }
         self.vouch.unreached.get().filter(|at| asked - *at < RETURN_HOLD)?;
--- a/lib/tests/mesh_gate.rs
+++ b/lib/tests/mesh_gate.rs
@@ -41,6 +41,24 @@
     releases.iter().filter_map(run).collect()
 }
 
+/// Among equals the lot decides, so that all calls of one request run before those of another.
+#[test]
+fn by_lot() {
+    let mut gate = full(1);
+    for (call, lot) in [(10, 9), (11, 3), (12, 9), (13, 3), (14, 0)] {
+        let ask = ask(at(1), 1, 2, true);
+        let ask = Ask { rank: Rank { lot, ..ask.rank }, ..ask };
+        assert!(matches!(gate.offer(at(1), id::Call(call), &ask), Decision::Queued(_)));
+    }
+    let mut order = Vec::new();
+    let mut running = vec![0];
+    while let Some(call) = running.pop() {
+        running.extend(served(&gate.done(at(2), id::Call(call), None)));
+        order.extend(running.last());
+    }
+    assert_eq!(order, [14, 11, 13, 10, 12]);
+}
+
 #[test]
 fn urgent_first() {
     let mut gate = full(2);
