--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod process;
 mod relay;
+mod replication;
 mod socket;
 mod sync;
 mod target;
@@ -56,6 +57,8 @@
     is_closed_to_peers: Cell<bool>,
     state_changed: Notify,
     last_platform_read: Cell<Option<Instant>>,
+    /// Notified when the platform's store was restored, so that a waiting watch is given up.
+    store_restored: Notify,
     vouching: VouchState,
     /// Calls whose connections to the node's own target broke, until a probe has shown whether the
     /// target crashed.
--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -8,10 +8,10 @@
         call::Refusal,
         id,
         mesh::{
-            fact::Fact,
+            fact::{Fact, Target},
             node::{ForwardedRequest, Head},
+            position::{Era, Position},
         },
-        unit::Revision,
     },
     std::{future::Future, time::Duration},
 };
@@ -69,21 +69,33 @@
     fn is_readiness_probe(&self, parts: &Parts) -> bool;
 }
 
-/// The facts that were read from the directory, and the revision up to which they are complete.
+/// The facts that were read from the directory, and the position up to which they are complete.
 #[derive(Clone, Debug)]
 pub struct Listing {
     /// The decoded facts.
     pub facts: Vec<Fact>,
-    /// The revision up to which no fact is missing.
-    pub position: Revision,
+    /// The position up to which no fact is missing.
+    pub position: Position,
+}
+
+/// The result of a read of the document.
+#[derive(Clone, Debug)]
+pub struct DocumentRead {
+    /// The era of the directory at the time of the read.
+    pub era: Era,
+    /// The document, or `None` if there is none or it can't be decoded.
+    pub fact: Option<Fact>,
 }
 
 /// Why the directory could not be read.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The requested changes were compacted; a full listing is needed.
-    #[error("the directory has compacted the changes after revision {0}")]
-    Compacted(Revision),
+    #[error("the directory has compacted the changes after {0}")]
+    Compacted(Position),
+    /// The directory was restored from a copy; a full listing of the new era is needed.
+    #[error("the directory was restored from a copy, {0}")]
+    Restored(Era),
     /// The directory rejected the read with this HTTP status.
     #[error("the directory responded with status {0}")]
     Refused(u16),
@@ -100,16 +112,20 @@
     /// Reads a full listing of all facts.
     fn list(&self) -> impl Future<Output = Result<Listing, Error>>;
 
-    /// Reads the changes after a revision, waiting up to `wait` for the first one.
+    /// Reads the entries of all targets. They may be some seconds old, so they tell only where peers
+    /// probably are.
+    fn list_targets_stale(&self) -> impl Future<Output = Result<Vec<Target>, Error>>;
+
+    /// Reads the changes after a position, waiting up to `wait` for the first one.
     fn changes(
         &self,
-        after: Revision,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Listing, Error>>;
 
     /// Reads the current document. The result is linearizable: it was current at some time between
     /// the call and its return.
-    fn document(&self) -> impl Future<Output = Result<Option<Fact>, Error>>;
+    fn document(&self) -> impl Future<Output = Result<DocumentRead, Error>>;
 
     /// Checks with the cheapest possible read whether the directory can be reached.
     fn probe(&self) -> impl Future<Output = Result<(), Error>>;
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -10,8 +10,9 @@
         call::{Reason, Refusal},
         crash, id,
         mesh::{
-            fact::Fact,
+            fact::{Heartbeat, Key, Value},
             node::ForwardedRequest,
+            position::Era,
             quota::{Demand, Shares},
         },
         pressure,
@@ -90,7 +91,7 @@
     /// The response to [`PeerRequest::Facts`].
     Facts {
         /// The facts after the requested revision.
-        facts: Vec<Fact>,
+        facts: Vec<WireFact>,
         /// The revision up to which no fact is missing.
         position: Revision,
         /// The time from the last confirmation of the document to the arrival of the request, in
@@ -127,6 +128,49 @@
     MayHaveRun(Reason),
 }
 
+/// A fact without its era and heartbeat, which are in the [`Extension`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WireFact {
+    /// The key that the fact is about.
+    pub key: Key,
+    /// The revision of the platform at which the value was written.
+    pub revision: Revision,
+    /// The value at this revision.
+    pub value: Value,
+}
+
+/// What [`WireFact`] lacks.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct FactOrigin {
+    /// The era of the platform's store in which the value was written.
+    pub era: Era,
+    /// The last known heartbeat of the target.
+    pub heartbeat: Heartbeat,
+}
+
+/// Data that follows a message. Versions without extensions ignore it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Extension {
+    /// Completes [`PeerRequest::Facts`].
+    Query {
+        /// The era of the revision up to which the sender has all facts.
+        era: Era,
+        /// The revision of the sender's document, or 0 if it has none.
+        document: Revision,
+    },
+    /// Completes [`PeerResponse::Facts`].
+    Update {
+        /// The era of the revision up to which no fact is missing.
+        era: Era,
+        /// The origins of the facts, in their order.
+        origins: Vec<FactOrigin>,
+        /// Whether these are all facts, so that targets without a fact are gone.
+        is_complete: bool,
+        /// The time since the sender knew of an outage of the platform, in milliseconds.
+        outage_age_ms: Option<u64>,
+    },
+}
+
 /// A message with the number that correlates requests and responses.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Envelope<M> {
@@ -151,9 +195,26 @@
 ///
 /// Fails if the head or the body exceeds the size limit of a frame.
 pub fn encode<M: Serialize>(number: u64, message: M, body: Bytes) -> io::Result<Frame> {
+    encode_extended(number, message, None, body)
+}
+
+/// Encodes a message with an extension as a frame.
+///
+/// # Errors
+///
+/// Fails if the head or the body exceeds the size limit of a frame.
+pub fn encode_extended<M: Serialize>(
+    number: u64,
+    message: M,
+    extension: Option<&Extension>,
+    body: Bytes,
+) -> io::Result<Frame> {
     let head = vec![0; PREFIX_BYTES];
     let numbered = Envelope { number, message };
     let mut head = postcard::to_extend(&numbered, head).map_err(io::Error::other)?;
+    if let Some(extension) = extension {
+        head = postcard::to_extend(extension, head).map_err(io::Error::other)?;
+    }
     let length = head.len() - PREFIX_BYTES;
     if length > MAX_HEAD_BYTES || body.len() > MAX_BODY_BYTES {
         return Err(io::Error::other("message exceeds the size limit of a frame"));
@@ -163,7 +224,7 @@
     Ok(Frame { head: head.into(), body })
 }
 
-/// Reads one message and its body.
+/// Reads one message, its extension and its body.
 ///
 /// # Errors
 ///
@@ -171,7 +232,7 @@
 pub async fn read<M: DeserializeOwned>(
     from: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
-) -> io::Result<(Envelope<M>, Bytes)> {
+) -> io::Result<(Envelope<M>, Option<Extension>, Bytes)> {
     fill_buffer(from, buffer, PREFIX_BYTES).await?;
     let length = |at: usize| {
         let mut bytes = [0; 4];
@@ -188,8 +249,12 @@
     let mut frame = buffer.split_to(PREFIX_BYTES + head + body);
     let _prefix = frame.split_to(PREFIX_BYTES);
     let head = frame.split_to(head);
-    let message = postcard::from_bytes(&head).map_err(io::Error::other)?;
-    Ok((message, Bytes::copy_from_slice(&frame)))
+    let (message, rest) = postcard::take_from_bytes(&head).map_err(io::Error::other)?;
+    let extension = match rest.is_empty() {
+        true => None,
+        false => Some(postcard::from_bytes(rest).map_err(io::Error::other)?),
+    };
+    Ok((message, extension, Bytes::copy_from_slice(&frame)))
 }
 
 async fn fill_buffer(
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        frame::{self, Envelope, Frame, PeerRequest, PeerResponse},
+        frame::{self, Envelope, Extension, Frame, PeerRequest, PeerResponse},
         socket,
     },
     bytes::{Bytes, BytesMut},
@@ -45,7 +45,18 @@
     Broken(IpAddr),
 }
 
-type Pending = HashMap<u64, oneshot::Sender<(PeerResponse, Bytes)>>;
+/// A peer's response to a request.
+#[derive(Debug)]
+pub struct Response {
+    /// The message.
+    pub message: PeerResponse,
+    /// The extension of the message, if it has one.
+    pub extension: Option<Extension>,
+    /// The body that belongs to the message.
+    pub body: Bytes,
+}
+
+type Pending = HashMap<u64, oneshot::Sender<Response>>;
 
 /// The client side of one link to a peer.
 struct Link {
@@ -133,11 +144,28 @@
         request: PeerRequest,
         body: Bytes,
     ) -> Result<(PeerResponse, Bytes), Error> {
+        let response = self.request_extended(host, request, None, body).await?;
+        Ok((response.message, response.body))
+    }
+
+    /// Sends a request with an extension to a peer and waits for its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer can't be reached or the link breaks.
+    pub async fn request_extended(
+        &self,
+        host: IpAddr,
+        request: PeerRequest,
+        extension: Option<&Extension>,
+        body: Bytes,
+    ) -> Result<Response, Error> {
         let unreachable = |error| Error::Unreachable(host, error);
         let link = self.link(host).await.map_err(unreachable)?;
         self.last_request_number.set(self.last_request_number.get() + 1);
         let number = self.last_request_number.get();
-        let frame = frame::encode(number, request, body).map_err(unreachable)?;
+        let frame =
+            frame::encode_extended(number, request, extension, body).map_err(unreachable)?;
         let (sender, response) = oneshot::channel();
         if link.pending.borrow().is_empty() {
             link.last_received.set(Instant::now());
@@ -246,11 +274,11 @@
     let mut buffer = BytesMut::new();
     loop {
         match frame::read::<PeerResponse>(&mut from, &mut buffer).await {
-            Ok((Envelope { number, message }, body)) => {
+            Ok((Envelope { number, message }, extension, body)) => {
                 link.last_received.set(Instant::now());
                 if let Some(response_sender) = link.pending.borrow_mut().remove(&number) {
                     // The requester may have been cancelled in the meantime.
-                    let _ = response_sender.send((message, body));
+                    let _ = response_sender.send(Response { message, extension, body });
                 }
             }
             Err(error) => return error,
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -4,15 +4,16 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        frame::{self, Envelope, Frame, PeerRequest, PeerResponse, RunResult},
-        link, socket,
+        frame::{self, Envelope, Extension, Frame, PeerRequest, PeerResponse, RunResult},
+        link,
+        replication::{self, Query},
+        socket,
     },
     crate::{clock, http::message::Request},
     bytes::{Bytes, BytesMut},
     monsoon_lib::{
         call::{Reason, Refusal},
         time::Instant,
-        unit::Revision,
     },
     std::{cell::RefCell, collections::HashMap, net::IpAddr, rc::Rc, time::Duration},
     tokio::{
@@ -76,7 +77,9 @@
     let mut buffer = BytesMut::new();
     let error = loop {
         match frame::read::<PeerRequest>(&mut read, &mut buffer).await {
-            Ok((Envelope { number, message }, body)) => dispatch(&link, number, message, body),
+            Ok((Envelope { number, message }, extension, body)) => {
+                dispatch(&link, number, message, extension.as_ref(), body);
+            }
             Err(error) => break error,
         }
     };
@@ -91,6 +94,7 @@
     link: &Rc<PeerLink<H, D>>,
     number: u64,
     peer_request: PeerRequest,
+    extension: Option<&Extension>,
     body: Bytes,
 ) {
     let mesh = &link.mesh;
@@ -135,7 +139,9 @@
         }
         PeerRequest::Facts { after, wait_ms } => {
             let wait = Duration::from_millis(wait_ms).min(MAX_FACTS_WAIT);
-            let handle = tokio::task::spawn_local(handle_facts(link.clone(), number, after, wait));
+            let era = mesh.node.borrow().facts().position().era;
+            let query = Query::decode(after, extension, era);
+            let handle = tokio::task::spawn_local(handle_facts(link.clone(), number, query, wait));
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
         PeerRequest::Demand(demand) => {
@@ -192,7 +198,7 @@
 async fn handle_facts<H: HeaderAdapter, D: Directory>(
     link: Rc<PeerLink<H, D>>,
     number: u64,
-    after: Revision,
+    query: Query,
     wait: Duration,
 ) {
     let mesh = &link.mesh;
@@ -200,24 +206,38 @@
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let changed = mesh.state_changed.notified();
-        if mesh.node.borrow().facts().position() > after {
+        if mesh.has_news_for(&query) {
             break;
         }
         if tokio::time::timeout_at(deadline, changed).await.is_err() {
             break;
         }
     }
-    let message = {
+    let now = clock::now();
+    let (message, extension) = {
         let node = mesh.node.borrow();
-        PeerResponse::Facts {
-            facts: node.facts().newer_than(after),
-            position: node.facts().position(),
-            is_reader: mesh.has_read_recently(clock::now()),
+        let update = node.facts().update_after(query.after, query.document);
+        // A node that is cut off from the platform, but hears of it, knows nothing of an outage.
+        let is_informed = mesh.has_read_recently(now) || mesh.is_stale();
+        let outage = node.fleet().last_outage().filter(|_| is_informed);
+        let outage_age = outage.map(|at| now - at);
+        let position = update.position.revision;
+        let (facts, extension) =
+            replication::encode(update, outage_age.map(|age| age.as_millis() as u64));
+        let message = PeerResponse::Facts {
+            facts,
+            position,
+            is_reader: mesh.has_read_recently(now),
             confirmed_age_ms: node.lease().confirmed().map(|at| signed_age_ms(at, arrived)),
-        }
+        };
+        (message, extension)
     };
     link.runs.borrow_mut().remove(&number);
-    send_response(&link, number, message, Bytes::new());
+    match frame::encode_extended(number, message, Some(&extension), Bytes::new()) {
+        // If the link broke meanwhile, nobody waits for the response.
+        Ok(frame) => drop(link.frames.send(frame)),
+        Err(error) => log::warn!(host:% = link.host, error:% = error; "failed to encode facts"),
+    }
 }
 
 /// Returns the signed time from `from` to `to` in milliseconds, rounded up.
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -109,6 +109,7 @@
         is_closed_to_peers: Cell::default(),
         state_changed: Notify::new(),
         last_platform_read: Cell::default(),
+        store_restored: Notify::new(),
         vouching: VouchState::default(),
         broken_calls: RefCell::default(),
     });
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -3,15 +3,19 @@
 use {
     super::{
         Mesh,
-        adapter::{self, Directory, HeaderAdapter, Listing},
-        frame::{PeerRequest, PeerResponse},
+        adapter::{self, Directory, DocumentRead, HeaderAdapter, Listing},
+        frame::{Extension, PeerRequest, PeerResponse},
+        link,
+        replication::{self, Query},
     },
     crate::clock,
     bytes::Bytes,
     monsoon_lib::{
         mesh::{
+            fact::Value,
             node::{Changes, Source},
             quota,
+            read_schedule::{ReadSchedule, Role},
         },
         time::Instant,
         unit::Revision,
@@ -38,25 +42,87 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The age of the last confirmation above which a node also asks peers other than its usual source.
 const STALE_AFTER: Duration = Duration::from_millis(2_200);
+/// The delay between two peers that are asked for news of the platform.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
+/// How often a node looks whether it has to read the platform.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a starting node waits for entries of targets, by which it finds its peers. The targets
+/// of a new deployment publish theirs within this time.
+const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The delay between two reads of these entries.
+const PEER_DISCOVERY_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of peers that a starting node asks for their facts before it reads the platform.
+const FIRST_PEERS: usize = 3;
+/// How long it waits for their answers.
+const FIRST_PEERS_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a starting node that is not the reader of its data centre waits for tables from peers
+/// before it reads the platform itself.
+const START_PATIENCE: Duration = Duration::from_millis(1_500);
 /// The interval of the node's periodic work.
 const TICK_INTERVAL: Duration = quota::PERIOD;
 
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Starts all tasks that keep the node's facts up to date.
     pub fn start_sync_tasks(self: &Rc<Self>) {
-        tokio::task::spawn_local(self.clone().watch_platform());
-        tokio::task::spawn_local(self.clone().confirm_document());
         tokio::task::spawn_local(self.clone().sync_from_peers());
         tokio::task::spawn_local(self.clone().tick());
+        let mesh = self.clone();
+        tokio::task::spawn_local(async move {
+            mesh.discover_peers().await;
+            mesh.ask_first_peers().await;
+            tokio::task::spawn_local(mesh.clone().watch_platform());
+            mesh.confirm_document().await;
+        });
+    }
+
+    /// Finds the peers of a starting node by the entries of their targets.
+    async fn discover_peers(&self) {
+        let deadline = clock::now() + PEER_DISCOVERY_TIMEOUT;
+        while clock::now() < deadline {
+            match self.directory.list_targets_stale().await {
+                Ok(targets) => {
+                    self.node.borrow_mut().add_peers(&targets);
+                    if !targets.is_empty() {
+                        return;
+                    }
+                }
+                Err(error) => self.on_read_error(&error, "targets"),
+            }
+            tokio::time::sleep(PEER_DISCOVERY_INTERVAL).await;
+        }
+    }
+
+    /// Gets the facts of some peers before the first read of the platform. After the store was
+    /// restored from a copy, peers may have a later document than the copy.
+    async fn ask_first_peers(self: &Rc<Self>) {
+        let mut hosts = self.node.borrow().peers().search_order(clock::now());
+        hosts.truncate(FIRST_PEERS);
+        let requests = hosts.into_iter().map(|host| self.fetch_facts(host));
+        let all = futures::future::join_all(requests);
+        if tokio::time::timeout(FIRST_PEERS_TIMEOUT, all).await.is_err() {
+            log::info!("not all peers answered before the first read of the platform");
+        }
     }
 
     fn source(&self) -> Source {
         self.node.borrow().peers().source(clock::now())
     }
 
-    fn is_reader(&self) -> bool {
-        let has_tables = self.node.borrow().table().is_some();
-        !has_tables || self.source() == Source::Platform || self.is_stale()
+    /// Returns whether and why this node has to read the platform.
+    fn role(&self, started: Instant) -> Role {
+        let now = clock::now();
+        let (is_elected, rank, has_tables) = {
+            let node = self.node.borrow();
+            let is_elected = node.peers().source(now) == Source::Platform;
+            (is_elected, node.peers().place(now).rank, node.table().is_some())
+        };
+        let is_waiting_for_peers = !has_tables && now - started < START_PATIENCE;
+        match is_elected {
+            true if rank == 0 || self.has_read_recently(now) => Role::Reader,
+            true => Role::Prober,
+            false if is_waiting_for_peers || !self.is_stale() => Role::Follower,
+            false => Role::Prober,
+        }
     }
 
     /// Returns whether this node read the platform within `READER_WINDOW`.
@@ -64,10 +130,22 @@
         self.last_platform_read.get().is_some_and(|at| now - at < READER_WINDOW)
     }
 
-    fn is_stale(&self) -> bool {
+    /// Returns whether it is so long since the last confirmation that this node asks other peers than
+    /// its usual source.
+    pub fn is_stale(&self) -> bool {
         self.node.borrow().lease().age(clock::now()).is_none_or(|age| age > STALE_AFTER)
     }
 
+    fn table_revision(&self) -> Revision {
+        self.node.borrow().table().map_or(Revision(0), |table| table.revision())
+    }
+
+    /// Returns whether this node has facts that a peer with this query lacks.
+    pub fn has_news_for(&self, query: &Query) -> bool {
+        let has_facts = self.node.borrow().facts().position() > query.after;
+        has_facts || self.table_revision() > query.document
+    }
+
     fn on_changes(self: &Rc<Self>, changes: Changes, from: &str) {
         if let Some(revision) = changes.table {
             log::info!(revision:% = revision, from; "tables in force");
@@ -87,18 +165,24 @@
         self.node.borrow_mut().record_outage(clock::now());
     }
 
-    /// Watches the platform for changes while this node is a reader.
+    /// Watches the platform for changes while this node reads it.
     async fn watch_platform(self: Rc<Self>) {
         let mut is_listed = false;
         loop {
-            if !self.is_reader() {
+            if !self.has_read_recently(clock::now()) {
                 is_listed = false;
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
             let position = self.node.borrow().facts().position();
             let read = match is_listed {
-                true => self.directory.changes(position, WATCH_TIMEOUT).await,
+                true => tokio::select! {
+                    changes = self.directory.changes(position, WATCH_TIMEOUT) => changes,
+                    () = self.store_restored.notified() => {
+                        is_listed = false;
+                        continue;
+                    }
+                },
                 false => self.directory.list().await,
             };
             match read {
@@ -112,6 +196,11 @@
                     self.on_changes(changes, "platform");
                     tokio::time::sleep(WATCH_DELAY).await;
                 }
+                Err(adapter::Error::Restored(era)) => {
+                    is_listed = false;
+                    self.node.borrow_mut().record_era(clock::now(), era);
+                    tokio::time::sleep(WATCH_DELAY).await;
+                }
                 Err(error) => {
                     is_listed &= !matches!(error, adapter::Error::Compacted(_));
                     self.on_read_error(&error, "changes");
@@ -121,96 +210,94 @@
         }
     }
 
-    /// Periodically confirms the document with the platform while this node is a reader.
+    /// Periodically confirms the document with the platform while this node reads it.
     async fn confirm_document(self: Rc<Self>) {
+        let started = clock::now();
+        let mut schedule = ReadSchedule::default();
         loop {
-            if !self.is_reader() {
-                tokio::time::sleep(RETRY_DELAY).await;
+            let now = clock::now();
+            let place = self.node.borrow().peers().place(now);
+            if !schedule.is_due(now, self.role(started), place) {
+                tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
-            let requested_at = clock::now();
             match self.directory.document().await {
-                Ok(fact) => {
-                    self.last_platform_read.set(Some(requested_at));
-                    let facts: Vec<_> = fact.into_iter().collect();
-                    let position = self.node.borrow().facts().position();
-                    let changes = self.node.borrow_mut().apply(clock::now(), &facts, position);
-                    if !facts.is_empty() {
-                        self.node.borrow_mut().confirm(requested_at);
-                    }
-                    if changes != Changes::default() {
-                        self.on_changes(changes, "platform");
-                    }
-                    tokio::time::sleep(CONFIRM_INTERVAL).await;
+                Ok(read) => {
+                    self.on_document(now, read);
+                    schedule.record_success(now, CONFIRM_INTERVAL);
                 }
                 Err(error) => {
                     self.on_read_error(&error, "document");
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    schedule.record_failure(clock::now(), place);
                 }
             }
         }
     }
 
+    fn on_document(self: &Rc<Self>, requested_at: Instant, read: DocumentRead) {
+        self.last_platform_read.set(Some(requested_at));
+        let now = clock::now();
+        if self.node.borrow_mut().record_era(now, read.era) {
+            self.store_restored.notify_waiters();
+        }
+        let Some(fact) = read.fact else { return };
+        let position = self.node.borrow().facts().position();
+        let Value::Document(document) = &fact.value else { return };
+        let found = document.revision;
+        let changes = self.node.borrow_mut().apply(now, &[fact], position);
+        if !self.node.borrow_mut().confirm_read(requested_at, read.era, found) {
+            let in_force = self.table_revision();
+            log::info!(
+                found:% = found, in_force:% = in_force, era:% = read.era;
+                "a read of the document does not confirm the tables in force"
+            );
+        }
+        if changes != Changes::default() {
+            self.on_changes(changes, "platform");
+        }
+    }
+
     /// Requests facts from the peer that reads the platform for this node. If the last confirmation
     /// is stale, asks all peers in turn instead.
     async fn sync_from_peers(self: Rc<Self>) {
         let mut next = 0;
         loop {
+            let is_stale = self.is_stale();
             let host = match self.source() {
-                Source::Peer(host) if !self.is_stale() => Some(host),
-                source if self.is_stale() => {
-                    if let Source::Peer(host) = source {
-                        self.node.borrow_mut().peers_mut().mark_stale(clock::now(), host);
-                    }
-                    let hosts: Vec<IpAddr> = self.node.borrow().peers().hosts().collect();
+                Source::Peer(host) if !is_stale => Some(host),
+                _ if is_stale => {
+                    let hosts = self.node.borrow().peers().search_order(clock::now());
                     next += 1;
-                    hosts.get(next % hosts.len().max(1)).copied()
+                    hosts.get((next - 1) % hosts.len().max(1)).copied()
                 }
                 _ => None,
             };
-            let Some(host) = host else {
-                tokio::time::sleep(RETRY_DELAY).await;
-                continue;
+            let is_fetched = match host {
+                Some(host) => self.fetch_facts(host).await,
+                None => false,
             };
-            if !self.fetch_facts(host).await {
-                tokio::time::sleep(RETRY_DELAY).await;
+            match (is_fetched, is_stale) {
+                (true, false) => {}
+                (_, true) => tokio::time::sleep(SEARCH_INTERVAL).await,
+                (false, false) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
     }
 
     async fn fetch_facts(self: &Rc<Self>, host: IpAddr) -> bool {
-        let after = self.node.borrow().facts().position();
+        let query =
+            Query { after: self.node.borrow().facts().position(), document: self.table_revision() };
         let wait = match self.is_stale() {
             true => Duration::ZERO,
             false => PEER_LONG_POLL,
         };
         let requested_at = clock::now();
-        let request = PeerRequest::Facts { after, wait_ms: wait.as_millis() as u64 };
-        let response = self.links.request(host, request, Bytes::new());
+        let request =
+            PeerRequest::Facts { after: query.after.revision, wait_ms: wait.as_millis() as u64 };
+        let extension = query.extension();
+        let response = self.links.request_extended(host, request, Some(&extension), Bytes::new());
         match tokio::time::timeout(wait + PEER_RESPONSE_GRACE, response).await {
-            Ok(Ok((PeerResponse::Facts { facts, position, confirmed_age_ms, is_reader }, _))) => {
-                let changes = {
-                    let mut node = self.node.borrow_mut();
-                    let now = clock::now();
-                    node.peers_mut().record_contact(now, host, None);
-                    let changes = node.apply(now, &facts, position);
-                    if let Some(age_ms) = confirmed_age_ms {
-                        node.confirm(subtract_age(requested_at, age_ms));
-                    }
-                    if !is_reader {
-                        node.peers_mut().mark_stale(now, host);
-                    }
-                    changes
-                };
-                if changes != Changes::default() || position > after {
-                    self.on_changes(changes, "peer");
-                }
-                true
-            }
-            Ok(Ok(_)) => {
-                log::warn!(host:% = host; "unexpected type of response from a peer");
-                false
-            }
+            Ok(Ok(response)) => self.on_facts(host, requested_at, &query, response),
             Ok(Err(error)) => {
                 self.mark_peer_unreachable(host, &error.to_string());
                 false
@@ -222,6 +309,43 @@
         }
     }
 
+    fn on_facts(
+        self: &Rc<Self>,
+        host: IpAddr,
+        requested_at: Instant,
+        query: &Query,
+        response: link::Response,
+    ) -> bool {
+        let PeerResponse::Facts { facts, position, confirmed_age_ms, is_reader } = response.message
+        else {
+            log::warn!(host:% = host; "unexpected type of response from a peer");
+            return false;
+        };
+        let now = clock::now();
+        let is_source = self.source() == Source::Peer(host);
+        let update = replication::decode(facts, position, response.extension.as_ref());
+        let changes = {
+            let mut node = self.node.borrow_mut();
+            node.peers_mut().record_contact(now, host, None);
+            if let Some(Extension::Update { outage_age_ms: Some(age_ms), .. }) = response.extension
+            {
+                node.record_outage(requested_at - Duration::from_millis(age_ms));
+            }
+            let changes = node.apply_update(now, &update);
+            if let Some(age_ms) = confirmed_age_ms {
+                node.confirm(subtract_age(requested_at, age_ms));
+            }
+            if is_source && (!is_reader || update.position.era < query.after.era) {
+                node.peers_mut().mark_stale(now, host);
+            }
+            changes
+        };
+        if changes != Changes::default() || update.position > query.after {
+            self.on_changes(changes, "peer");
+        }
+        true
+    }
+
     /// Marks a peer to which a request failed or timed out as unreachable, so that it is not used.
     pub fn mark_peer_unreachable(&self, host: IpAddr, cause: &str) {
         if self.node.borrow_mut().peers_mut().mark_unreachable(host) {
@@ -238,6 +362,10 @@
             let now = clock::now();
             self.node.borrow_mut().tick(now);
             self.target.evict_expired();
+            if self.is_stale() {
+                // No node in reach can read the platform, so entries may lapse.
+                self.node.borrow_mut().record_outage(now);
+            }
             let unreachable = self.node.borrow().peers().unreachable_hosts();
             for host in unreachable {
                 tokio::task::spawn_local(self.clone().ping_unreachable_peer(host));
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -10,6 +10,8 @@
 pub mod lease;
 pub mod lineage;
 pub mod node;
+pub mod position;
 pub mod quota;
+pub mod read_schedule;
 pub mod resend;
 pub mod table;
--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -1,14 +1,20 @@
 //! Versioned key-value facts published by the platform, and a node's store of the newest ones.
 //!
-//! Each fact carries the platform's revision, so that nodes that read the platform and nodes that
-//! replicate from a peer agree on which of two facts is newer. A newer fact is never replaced by an
-//! older one.
+//! Each fact carries its position in the history of the platform's store, so that nodes that read
+//! the platform and nodes that replicate from a peer agree on which of two facts is newer. A newer
+//! fact is never replaced by an older one. After the store was restored from a copy, facts of the
+//! new era may be older than those of the era before; see [`FactStore::insert`].
 
 use {
-    super::table::Document,
+    super::{position::Position, table::Document},
     crate::{id, time::Instant, unit::Revision},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// How long removals are kept as tombstones. A peer that was partitioned for longer reads the
@@ -54,80 +60,171 @@
     Removed,
 }
 
-/// The value of one key at one revision of the platform.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// How far a target has come in its life, as it publishes about itself. Later entries of the same
+/// name compare greater, also across eras of the store.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Heartbeat {
+    /// The start time in milliseconds of the wall clock, as far as the target publishes it.
+    pub started_at_ms: u64,
+    /// The number of heartbeats since the start.
+    pub sequence: u64,
+}
+
+/// The value of one key at one position in the history of the platform's store.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Fact {
     /// The key that the fact is about.
     pub key: Key,
-    /// The platform's revision at which the value was written.
-    pub revision: Revision,
-    /// The value at this revision.
+    /// Where in the store's history the value was written.
+    pub position: Position,
+    /// The last known heartbeat of the target. Zero for the document.
+    pub heartbeat: Heartbeat,
+    /// The value at this position.
     pub value: Value,
 }
 
+impl Fact {
+    /// Returns whether a target may get requests according to this fact.
+    fn is_in_use(&self) -> bool {
+        matches!(&self.value, Value::Target(target) if !target.is_leaving)
+    }
+
+    /// Returns whether this fact replaces another one of the same key.
+    fn supersedes(&self, other: &Self) -> bool {
+        match (&self.value, &other.value) {
+            // Configuration never goes back, whatever the store holds after a restore.
+            (Value::Document(new), Value::Document(old)) if new.revision != old.revision => {
+                new.revision > old.revision
+            }
+            (Value::Removed, Value::Document(_)) => false,
+            // Two nodes may have read the same entry, and one of them knows that the target left.
+            _ if self.position == other.position => other.is_in_use() && !self.is_in_use(),
+            _ => self.position > other.position,
+        }
+    }
+
+    /// Returns whether this fact was read from a copy that was made before the target of the other
+    /// fact left. A target that is alive writes its entry again, with a later heartbeat.
+    fn is_resurrection_of(&self, other: &Self) -> bool {
+        self.position.era > other.position.era
+            && self.is_in_use()
+            && matches!(other.key, Key::Target(_))
+            && !other.is_in_use()
+            && self.heartbeat <= other.heartbeat
+    }
+}
+
+/// The facts that a peer lacks.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// The facts in any order.
+    pub facts: Vec<Fact>,
+    /// The position up to which the facts are complete.
+    pub position: Position,
+    /// Whether these are all facts, so that targets without a fact are gone.
+    pub is_complete: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     fact: Fact,
     received_at: Instant,
 }
 
-/// The newest fact of each key, and the revision up to which the store is complete.
+/// The newest fact of each key, and the position up to which the store is complete.
 #[derive(Debug, Default)]
 pub struct FactStore {
     entries: BTreeMap<Key, Entry>,
-    position: Revision,
+    position: Position,
+    /// The position since which all removals are known.
+    history_start: Position,
 }
 
 impl FactStore {
-    /// Returns the platform's revision up to which the store is complete.
-    pub fn position(&self) -> Revision {
+    /// Returns the position up to which the store is complete.
+    pub fn position(&self) -> Position {
         self.position
     }
 
-    /// Records that all facts up to a revision are in the store. The position never goes back.
-    pub fn advance_position(&mut self, to: Revision) {
+    /// Records that all facts up to a position are in the store. The position never goes back.
+    pub fn advance_position(&mut self, to: Position) {
         self.position = self.position.max(to);
     }
 
-    /// Inserts a fact unless the store has one of the same or a later revision. Returns whether
-    /// the value of the key changed.
+    /// Inserts a fact unless the store has a newer one. Returns whether the value of the key
+    /// changed.
+    ///
+    /// A target that has left does not come back through an entry of a later era that is not newer
+    /// than what was known of it: the store was restored from a copy made before it left.
     pub fn insert(&mut self, now: Instant, fact: &Fact) -> bool {
-        let is_outdated =
-            self.entries.get(&fact.key).is_some_and(|entry| entry.fact.revision >= fact.revision);
-        if is_outdated {
+        let Some(entry) = self.entries.get_mut(&fact.key) else {
+            self.entries.insert(fact.key.clone(), Entry { fact: fact.clone(), received_at: now });
+            return true;
+        };
+        if !fact.supersedes(&entry.fact) {
             return false;
         }
-        let is_unchanged =
-            self.entries.get(&fact.key).is_some_and(|entry| entry.fact.value == fact.value);
-        self.entries.insert(fact.key.clone(), Entry { fact: fact.clone(), received_at: now });
-        !is_unchanged
+        if fact.is_resurrection_of(&entry.fact) {
+            *entry = Entry {
+                fact: Fact { position: fact.position, ..entry.fact.clone() },
+                received_at: now,
+            };
+            return false;
+        }
+        let is_changed = entry.fact.value != fact.value;
+        let heartbeat = fact.heartbeat.max(entry.fact.heartbeat);
+        *entry = Entry { fact: Fact { heartbeat, ..fact.clone() }, received_at: now };
+        is_changed
     }
 
     /// Returns removals of the stored targets that a complete listing does not contain.
     ///
-    /// `listed` are the keys of the listing and `revision` is the revision that it was made at.
-    /// Targets with a later revision are kept.
-    pub fn missing_from(&self, listed: &[Key], revision: Revision) -> Vec<Fact> {
+    /// `listed` are the keys of the listing and `position` is where it was made. Targets with a
+    /// later position are kept.
+    pub fn missing_from(&self, listed: &BTreeSet<&Key>, position: Position) -> Vec<Fact> {
         let is_missing = |entry: &&Entry| {
             let is_present = entry.fact.value != Value::Removed;
-            is_present && entry.fact.revision <= revision && !listed.contains(&entry.fact.key)
+            is_present && entry.fact.position <= position && !listed.contains(&entry.fact.key)
         };
         let targets = self.entries.values().filter(|entry| entry.fact.key != Key::Document);
         let removal =
-            |entry: &Entry| Fact { key: entry.fact.key.clone(), revision, value: Value::Removed };
+            |entry: &Entry| Fact { position, value: Value::Removed, ..entry.fact.clone() };
         targets.filter(is_missing).map(removal).collect()
     }
 
-    /// Returns the facts with a later revision, including removals.
-    pub fn newer_than(&self, revision: Revision) -> Vec<Fact> {
-        let newer = self.entries.values().filter(|entry| entry.fact.revision > revision);
-        newer.map(|entry| entry.fact.clone()).collect()
+    /// Records that the store has just become complete without knowledge of earlier removals.
+    pub fn start_history(&mut self, at: Position) {
+        self.history_start = self.history_start.max(at);
+    }
+
+    /// Returns the facts that a peer lacks which is complete up to `after` and has the operator's
+    /// document of the given revision.
+    pub fn update_after(&self, after: Position, document: Revision) -> Update {
+        let is_complete = after < self.history_start || after.era < self.position.era;
+        let is_missing = |fact: &Fact| match &fact.value {
+            // After a restore the newer document may have the older position.
+            Value::Document(stored) => stored.revision > document || fact.position > after,
+            _ => is_complete || fact.position > after,
+        };
+        let facts = self.entries.values().map(|entry| &entry.fact);
+        Update {
+            facts: facts.filter(|fact| is_missing(fact)).cloned().collect(),
+            position: self.position,
+            is_complete,
+        }
     }
 
     /// Drops tombstones that are older than their retention period.
     pub fn tick(&mut self, now: Instant) {
+        let mut history_start = self.history_start;
         self.entries.retain(|_, entry| {
-            entry.fact.value != Value::Removed || now - entry.received_at < TOMBSTONE_RETENTION
+            let is_kept =
+                entry.fact.value != Value::Removed || now - entry.received_at < TOMBSTONE_RETENTION;
+            if !is_kept {
+                history_start = history_start.max(entry.fact.position);
+            }
+            is_kept
         });
+        self.history_start = history_start;
     }
 }
--- a/lib/src/mesh/fleet.rs
+++ b/lib/src/mesh/fleet.rs
@@ -73,7 +73,12 @@
 
     /// Records that the platform could not be read at this time.
     pub fn record_outage(&mut self, now: Instant) {
-        self.last_outage = Some(now);
+        self.last_outage = self.last_outage.max(Some(now));
+    }
+
+    /// Returns when the platform could last not be read.
+    pub fn last_outage(&self) -> Option<Instant> {
+        self.last_outage
     }
 
     /// Drops removed entries whose grace period is over. Returns whether there were any.
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -15,11 +15,12 @@
 
 use {
     super::{
-        fact::{Fact, FactStore, Key, Target, Value},
+        fact::{Fact, FactStore, Key, Target, Update, Value},
         fleet::Fleet,
         gate::Gate,
         lease::Lease,
         lineage::ActiveRuns,
+        position::{Era, EraTracker, Position},
         quota::{Coordinator, RateLimiter},
         resend::ResendBudget,
         table::Table,
@@ -37,7 +38,7 @@
     rand_chacha::ChaCha8Rng,
     serde::Serialize,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::{IpAddr, SocketAddr},
         sync::Arc,
         time::Duration,
@@ -91,6 +92,7 @@
 pub struct Node {
     settings: Settings,
     facts: FactStore,
+    eras: EraTracker,
     table: Option<Arc<Table>>,
     lease: Lease,
     fleet: Fleet,
@@ -113,6 +115,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Self {
             facts: FactStore::default(),
+            eras: EraTracker::default(),
             table: None,
             lease: Lease::new(settings.withdrawal),
             fleet: Fleet::default(),
@@ -217,7 +220,8 @@
     pub fn is_ready(&self, now: Instant) -> bool {
         let is_keyed = self.table.as_ref().is_some_and(|table| table.requires_key());
         let has_keys = !is_keyed || self.lease.is_valid(now);
-        self.table.is_some() && has_keys && !self.is_leaving
+        let knows_targets = self.facts.position() != Position::default();
+        self.table.is_some() && knows_targets && has_keys && !self.is_leaving
     }
 
     /// Returns the name of the local target's current instance, once its entry is known.
@@ -225,8 +229,8 @@
         self.fleet.by_address(self.settings.target).map(|target| target.name.clone())
     }
 
-    /// Applies facts. `position` is the revision up to which the store is complete with them.
-    pub fn apply(&mut self, now: Instant, facts: &[Fact], position: Revision) -> Changes {
+    /// Applies facts. `position` is where the store is complete up to with them.
+    pub fn apply(&mut self, now: Instant, facts: &[Fact], position: Position) -> Changes {
         let mut changes = Changes::default();
         for fact in facts {
             if self.facts.insert(now, fact) {
@@ -240,19 +244,66 @@
         changes
     }
 
-    /// Applies a complete listing of the platform. Targets that it does not contain are removed.
-    pub fn apply_listing(&mut self, now: Instant, facts: &[Fact], revision: Revision) -> Changes {
-        let listed: Vec<Key> = facts.iter().map(|fact| fact.key.clone()).collect();
-        let mut facts = facts.to_vec();
-        facts.extend(self.facts.missing_from(&listed, revision));
-        self.apply(now, &facts, revision)
+    /// Applies a complete listing of the platform or of a peer. Targets that it does not contain
+    /// are removed.
+    pub fn apply_listing(&mut self, now: Instant, facts: &[Fact], position: Position) -> Changes {
+        let listed: BTreeSet<&Key> = facts.iter().map(|fact| &fact.key).collect();
+        let missing = self.facts.missing_from(&listed, position);
+        if self.facts.position() == Position::default() {
+            self.facts.start_history(position);
+        }
+        // A peer that has just started has no facts and knows no era.
+        if position != Position::default() {
+            self.record_era(now, position.era);
+        }
+        let all: Vec<Fact> = facts.iter().cloned().chain(missing).collect();
+        self.apply(now, &all, position)
     }
 
-    /// Records that the document was the newest one at this time.
+    /// Applies what a peer sent.
+    pub fn apply_update(&mut self, now: Instant, update: &Update) -> Changes {
+        match update.is_complete && update.position >= self.facts.position() {
+            true => self.apply_listing(now, &update.facts, update.position),
+            false => self.apply(now, &update.facts, self.facts.position().max(update.position)),
+        }
+    }
+
+    /// Records the era of an answer of the store. Returns whether the store was restored from a copy
+    /// since the last one, so that a complete listing is needed.
+    pub fn record_era(&mut self, now: Instant, era: Era) -> bool {
+        let is_restored = self.eras.record(now, era);
+        if is_restored {
+            log::warn!("the store was restored from a copy, {era}");
+            // Targets whose entries the copy lacks write them again.
+            self.fleet.record_outage(now);
+        }
+        is_restored
+    }
+
+    /// Records that the document was the newest one at this time, according to a peer.
     pub fn confirm(&mut self, at: Instant) {
         self.lease.confirm(at);
     }
 
+    /// Records a read of the store, requested at this time in the given era, that found the document
+    /// of the given revision. Returns whether it confirms the document in force.
+    pub fn confirm_read(&mut self, requested_at: Instant, era: Era, found: Revision) -> bool {
+        let in_force = self.table.as_ref().map(|table| table.revision());
+        // A copy may lack the document in force, and with it the one that follows.
+        let is_confirmed = in_force.is_some_and(|revision| revision <= found)
+            && self.eras.is_conclusive(requested_at, era);
+        if is_confirmed {
+            self.lease.confirm(requested_at);
+        }
+        is_confirmed
+    }
+
+    /// Adds the nodes beside these targets as peers. The targets themselves are not used, since
+    /// their entries may be outdated.
+    pub fn add_peers(&mut self, targets: &[Target]) {
+        self.peers.set_targets(targets.iter());
+    }
+
     /// Returns the targets that are kept although their entries were removed.
     pub fn missing(&self) -> impl Iterator<Item = &Target> {
         self.fleet.missing()
@@ -392,8 +443,8 @@
     pub vm: id::Vm,
     /// The revision of the routing table in force.
     pub table: Option<Revision>,
-    /// The platform's revision up to which the facts are complete.
-    pub position: Revision,
+    /// The position up to which the facts are complete.
+    pub position: Position,
     /// The time since the document was last known to be the newest one.
     pub confirmed_age_ms: Option<u64>,
     /// The number of targets.
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,7 +10,7 @@
         mesh::{
             gate::{AdmissionRequest, Rank},
             lineage::{self, Lineage},
-            table::Route,
+            table::{Kind, Route},
         },
         time::Instant,
     },
@@ -201,6 +201,9 @@
         let table = self.table.clone().ok_or(no_tables)?;
         let route = table.route(&head.host, &head.path);
         let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        if route.kind == Kind::Unsupported {
+            return Err(no_tables);
+        }
         let mut account = head.key.as_ref().and_then(|key| table.account_of(key));
         if table.requires_key() && !self.lease.is_valid(now) {
             if !route.is_open {
@@ -322,7 +325,7 @@
             account: call.account.clone(),
             rank: call.rank,
             is_repeat: call.is_repeat || call.possible_runs > 0,
-            is_idempotent: call.route.idempotent,
+            is_idempotent: call.route.is_idempotent(),
             fingerprint: call.fingerprint,
             objective: call.route.objective.saturating_sub(now - call.arrived),
             remaining: attempt.remaining,
@@ -385,7 +388,7 @@
     }
 
     fn may_run_again(&mut self, now: Instant, call: &Call, share: f64) -> bool {
-        call.route.idempotent
+        call.route.is_idempotent()
             && call.possible_runs < call.route.attempts
             && call.deadline - now > MIN_RUN_TIME
             && self.may_resend(now, call, share)
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -4,7 +4,11 @@
 //! target has left or is not listed yet is added when it connects.
 
 use {
-    crate::{id, mesh::fact::Target, time::Instant},
+    crate::{
+        id,
+        mesh::{fact::Target, read_schedule::Place},
+        time::Instant,
+    },
     std::{collections::BTreeMap, net::IpAddr, time::Duration},
 };
 
@@ -170,6 +174,35 @@
         }
     }
 
+    /// Returns this node's place among the usable nodes of its data centre.
+    pub fn place(&self, now: Instant) -> Place {
+        let own_data_centre = Some(&self.data_centre);
+        let mut place = Place { rank: 0, nodes: 1 };
+        for (host, peer) in &self.peers {
+            if peer.data_centre.as_ref() == own_data_centre && !peer.is_excluded(now) {
+                place.nodes += 1;
+                place.rank += usize::from(*host < self.own_host);
+            }
+        }
+        place
+    }
+
+    /// Returns the usable peers in the order in which to ask them for news of the platform: the
+    /// likely readers of all data centres first, beginning with the own one.
+    pub fn search_order(&self, now: Instant) -> Vec<IpAddr> {
+        let own_data_centre = Some(&self.data_centre);
+        let mut ranks: BTreeMap<Option<&id::DataCentre>, usize> = BTreeMap::new();
+        let mut order = Vec::new();
+        for (host, peer) in self.peers.iter().filter(|(_, peer)| !peer.is_excluded(now)) {
+            let data_centre = peer.data_centre.as_ref();
+            let rank = ranks.entry(data_centre).or_default();
+            order.push((*rank, data_centre != own_data_centre, *host));
+            *rank += 1;
+        }
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, host)| host).collect()
+    }
+
     fn lowest_address(&self, now: Instant, is_candidate: impl Fn(&Peer) -> bool) -> IpAddr {
         let usable = self
             .peers
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -59,6 +59,23 @@
     pub weight: u32,
 }
 
+/// What may be done with the requests of a route.
+///
+/// Nodes exchange the position of the variant. The first two positions equal those of the flag that
+/// earlier versions exchanged, so that both versions can run side by side.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Kind {
+    /// Requests may run at most once.
+    NonIdempotent,
+    /// Requests may safely run more than once.
+    Idempotent,
+    /// Requests have large bodies and may run at most once.
+    Upload,
+    /// The operator's record can't be understood. Requests are refused as not run, since another
+    /// route could send them to a pool that they must not reach.
+    Unsupported,
+}
+
 /// A route: which requests it matches, the pools they go to, and how they are handled.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
@@ -70,8 +87,8 @@
     pub prefix: String,
     /// The pools that requests are split over.
     pub pools: Vec<WeightedPool>,
-    /// Whether requests may safely run more than once.
-    pub idempotent: bool,
+    /// What may be done with matching requests.
+    pub kind: Kind,
     /// The longest time until a caller gets an answer.
     pub timeout: Duration,
     /// The latency objective. A later answer is worth less to the caller.
@@ -84,6 +101,13 @@
     pub is_open: bool,
 }
 
+impl Route {
+    /// Returns whether requests may safely run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.kind == Kind::Idempotent
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Account {
@@ -171,7 +195,8 @@
         if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
             return Err(Error::Prefix { route: route.name, prefix: route.prefix });
         }
-        if route.pools.iter().all(|pool| pool.weight == 0) {
+        let is_supported = route.kind != Kind::Unsupported;
+        if is_supported && route.pools.iter().all(|pool| pool.weight == 0) {
             return Err(Error::NoWeightedPool(route.name));
         }
         self.pools.extend(route.pools.iter().map(|pool| pool.pool.clone()));
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -5,15 +5,19 @@
         id,
         key::Digest,
         mesh::{
-            fact::{Fact, FactStore, Key, Target, Value},
+            fact::{Fact, FactStore, Heartbeat, Key, Target, Value},
             fleet::Fleet,
             lease::Lease,
-            table::{Account, Bounds, Document, Error, Route, Table, WeightedPool},
+            position::{Era, Position},
+            table::{Account, Bounds, Document, Error, Kind, Route, Table, WeightedPool},
         },
         time::Instant,
         unit::{Bytes, Revision},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 fn at(ms: u64) -> Instant {
@@ -32,10 +36,15 @@
     }
 }
 
+fn in_first_era(revision: u64) -> Position {
+    Position::new(Era(1), Revision(revision))
+}
+
 fn fact(target: &Target, revision: u64) -> Fact {
     Fact {
         key: Key::Target(target.name.clone()),
-        revision: Revision(revision),
+        position: in_first_era(revision),
+        heartbeat: Heartbeat { started_at_ms: target.started_at_ms, sequence: revision },
         value: Value::Target(target.clone()),
     }
 }
@@ -47,8 +56,9 @@
     let new = Target { is_leaving: true, ..old.clone() };
     assert!(facts.insert(at(0), &fact(&new, 7)));
     assert!(!facts.insert(at(1), &fact(&old, 6)));
-    assert_eq!(facts.newer_than(Revision(0)), [fact(&new, 7)]);
-    assert!(facts.newer_than(Revision(7)).is_empty());
+    facts.advance_position(in_first_era(7));
+    assert_eq!(facts.update_after(in_first_era(0), Revision(0)).facts, [fact(&new, 7)]);
+    assert!(facts.update_after(in_first_era(7), Revision(0)).facts.is_empty());
 }
 
 #[test]
@@ -59,7 +69,7 @@
     for stored in [fact(&listed, 3), fact(&removed, 4), fact(&later, 9)] {
         facts.insert(at(0), &stored);
     }
-    let missing = facts.missing_from(&[Key::Target(listed.name)], Revision(8));
+    let missing = facts.missing_from(&BTreeSet::from([&Key::Target(listed.name)]), in_first_era(8));
     let names: Vec<_> = missing.iter().map(|fact| &fact.key).collect();
     // The third target was added after the listing was made.
     assert_eq!(names, [&Key::Target(removed.name)]);
@@ -154,7 +164,7 @@
         host: "shop.example".into(),
         prefix: prefix.into(),
         pools: vec![WeightedPool { pool: "desk".parse().expect("a name"), weight: 1 }],
-        idempotent: true,
+        kind: Kind::Idempotent,
         timeout: Duration::from_secs(5),
         objective: Duration::from_secs(1),
         rank: 0,
--- a/testutils/src/mesh.rs
+++ b/testutils/src/mesh.rs
@@ -14,5 +14,5 @@
     client::{Reply, Request, send},
     machine::{Deployment, Machine, wait_for},
     server::{Behaviour, Server},
-    store::{Fault, Store},
+    store::{Copy, Fault, Store},
 };
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -12,13 +12,16 @@
     },
     serde_json::{Value, json},
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         fs::{self, File},
         io,
         net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::{
+            Mutex, MutexGuard,
+            atomic::{AtomicU32, AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -134,6 +137,12 @@
     program: PathBuf,
     directory: PathBuf,
     version: u64,
+    /// What the operator wrote last.
+    configuration: Vec<u8>,
+    /// The state that each registered server wrote last, by the index of its machine.
+    registered: Mutex<BTreeMap<usize, String>>,
+    /// The number of entries written so far, which stands in for the heartbeats of all servers.
+    sequence: AtomicU64,
 }
 
 impl Drop for Deployment {
@@ -155,7 +164,16 @@
         let directory = std::env::temp_dir().join(unique);
         fs::create_dir_all(&directory)?;
         let store = Store::start()?;
-        Ok(Self { store, machines: Vec::new(), program: program.into(), directory, version: 0 })
+        Ok(Self {
+            store,
+            machines: Vec::new(),
+            program: program.into(),
+            directory,
+            version: 0,
+            configuration: Vec::new(),
+            registered: Mutex::default(),
+            sequence: AtomicU64::new(0),
+        })
     }
 
     /// Adds a machine with a server of the service, registers the server and returns the machine's
@@ -223,19 +241,36 @@
     /// Writes the store entry of a machine's server with the given state.
     pub fn register(&self, index: usize, state: &str) {
         let machine = &self.machines[index];
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        self.registered().insert(index, state.into());
         let entry = json!({
             "address": machine.server.address().to_string(),
             "born": 1_700_000_000_000_u64 + index as u64,
             "info": {"service": machine.service, "version": "v1", "zone": machine.zone,
                 "slots": machine.server.slots()},
-            "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0},
+            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
         });
         let key = format!("servers/{}", machine.server.id());
         self.store.write(&key, Some(entry.to_string().as_bytes()));
     }
 
+    fn registered(&self) -> MutexGuard<'_, BTreeMap<usize, String>> {
+        self.registered.lock().expect("no holder of the lock panics")
+    }
+
+    /// Writes the configuration and the entries of all registered servers again, as the operator and
+    /// the servers do after the store was restored from a copy.
+    pub fn write_again(&self) {
+        let registered = self.registered().clone();
+        for (index, state) in registered {
+            self.register(index, &state);
+        }
+        self.store.write("op/config", Some(&self.configuration));
+    }
+
     /// Removes the store entry of a machine's server.
     pub fn unregister(&self, index: usize) {
+        self.registered().remove(&index);
         let key = format!("servers/{}", self.machines[index].server.id());
         self.store.write(&key, None);
     }
@@ -281,7 +316,8 @@
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
                 "rows": tenants},
         });
-        self.store.write("op/config", Some(configuration.to_string().as_bytes()));
+        self.configuration = configuration.to_string().into_bytes();
+        self.store.write("op/config", Some(&self.configuration));
     }
 
     /// Waits until all nodes are ready and know all their peers.
--- a/testutils/src/mesh/soak/schedule.rs
+++ b/testutils/src/mesh/soak/schedule.rs
@@ -3,7 +3,7 @@
 use {
     super::{Deployment, Instant, Shared, publish, rotated_key},
     crate::{
-        mesh::{Behaviour, Fault},
+        mesh::{Behaviour, Copy, Fault},
         proxy::{Mode, Proxy},
     },
     nix::sys::signal::Signal,
@@ -24,7 +24,7 @@
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
 /// A scheduled event, most of which end a fault.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 enum Event {
     Restart(usize),
     Resume(usize),
@@ -33,6 +33,9 @@
     Register(usize),
     Unregister(usize),
     HealStore,
+    LoseStore(Copy),
+    RestoreStore(Copy),
+    WriteAgain,
     RestoreServer(usize),
 }
 
@@ -125,7 +128,7 @@
 
     fn inject_fault(&mut self) -> io::Result<()> {
         let machine = self.random.random_range(0..self.links.len());
-        match self.random.random_range(0..9) {
+        match self.random.random_range(0..10) {
             0 => self.signal(machine, Signal::SIGTERM),
             1 => self.signal(machine, Signal::SIGKILL),
             2 => self.signal(machine, Signal::SIGSTOP),
@@ -133,6 +136,7 @@
             5 => self.impair(machine),
             6 => self.drain(machine),
             7 => self.fail_store(),
+            8 => self.copy_store(),
             _ => self.rotate_key(),
         }
         Ok(())
@@ -224,6 +228,13 @@
         self.schedule(wait, Event::HealStore);
     }
 
+    /// Copies the store, from which it is restored some seconds later.
+    fn copy_store(&mut self) {
+        let copy = self.deployment.store.copy();
+        let wait = self.random_millis(300..3_000);
+        self.schedule(wait, Event::LoseStore(copy));
+    }
+
     fn rotate_key(&mut self) {
         let rotation = self.shared.rotation.get() + 1;
         self.record(&format!("key {rotation} replaces the previous one"));
@@ -268,6 +279,19 @@
             }
             Event::Register(_) => {}
             Event::Unregister(machine) => self.deployment.unregister(machine),
+            Event::LoseStore(copy) => {
+                self.deployment.store.fail(Fault::Status(503));
+                let wait = self.random_millis(50..500);
+                self.schedule(wait, Event::RestoreStore(copy));
+            }
+            Event::RestoreStore(copy) => {
+                self.record("store restored from a copy");
+                self.deployment.store.restore(&copy);
+                self.deployment.store.fail(Fault::None);
+                let wait = self.random_millis(100..1_200);
+                self.schedule(wait, Event::WriteAgain);
+            }
+            Event::WriteAgain => self.deployment.write_again(),
             Event::HealStore => self.deployment.store.fail(Fault::None),
             Event::RestoreServer(machine) => {
                 self.deployment.machines[machine]
--- a/testutils/src/mesh/store.rs
+++ b/testutils/src/mesh/store.rs
@@ -1,9 +1,11 @@
-//! The platform's key-value store with reads, ranges and watches, and with fault injection.
+//! The platform's key-value store with reads, ranges and watches, with fault injection and with
+//! restores from a copy.
 
 use {
     crate::server::Server,
     actix_web::{
-        HttpRequest, HttpResponse,
+        HttpRequest, HttpResponse, HttpResponseBuilder,
+        http::StatusCode,
         web::{self, Data, Query, ServiceConfig},
     },
     serde::Deserialize,
@@ -56,6 +58,8 @@
     revision: u64,
     compacted_revision: u64,
     fault: Fault,
+    /// The number of restores, plus one.
+    era: u64,
     refused_addresses: Vec<IpAddr>,
     calls: u64,
 }
@@ -66,6 +70,14 @@
     }
 }
 
+/// A copy of the items of a store, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    items: BTreeMap<String, Event>,
+    history: Vec<Event>,
+    revision: u64,
+}
+
 /// A running store. It stops when it is dropped.
 pub struct Store {
     state: Arc<Mutex<State>>,
@@ -89,7 +101,7 @@
     ///
     /// Returns the error of the system when no port can be bound.
     pub fn start() -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State { revision: 1, ..State::default() }));
+        let state = Arc::new(Mutex::new(State { revision: 1, era: 1, ..State::default() }));
         let (changed, receiver) = watch::channel(1);
         let shared = Data::new(Shared { state: state.clone(), changed: receiver });
         let configure = move |config: &mut ServiceConfig| {
@@ -136,6 +148,28 @@
         state.history.clear();
     }
 
+    /// Returns a copy of the items as they are now.
+    pub fn copy(&self) -> Copy {
+        let state = lock(&self.state);
+        Copy {
+            items: state.items.clone(),
+            history: state.history.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Replaces all items by those of a copy. What was written since is lost, and its revisions are
+    /// given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = lock(&self.state);
+        state.items = copy.items.clone();
+        state.history = copy.history.clone();
+        state.revision = copy.revision;
+        state.era += 1;
+        drop(state);
+        self.changed.send_modify(|_| {});
+    }
+
     /// Answers the given machines with status 503 and serves all others.
     pub fn refuse(&self, machines: &[IpAddr]) {
         lock(&self.state).refused_addresses = machines.to_vec();
@@ -149,6 +183,13 @@
     }
 }
 
+/// Begins an answer with this status. All answers state the era.
+fn answer(state: &State, status: StatusCode) -> HttpResponseBuilder {
+    let mut answer = HttpResponse::build(status);
+    answer.insert_header(("Store-Era", state.era.to_string()));
+    answer
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let digit = |bits: u32, shift: u32| char::from(DIGITS[(bits >> shift) as usize & 63]);
@@ -166,25 +207,26 @@
 
 /// Counts a call. Returns the answer that the present fault gives, if any.
 async fn begin_call(shared: &Shared, request: &HttpRequest) -> Option<HttpResponse> {
-    let fault = {
+    let failure = {
         let mut state = lock(&shared.state);
         state.calls += 1;
-        match state.is_refused(request) {
+        let fault = match state.is_refused(request) {
             true => Fault::Status(503),
             false => state.fault,
+        };
+        match fault {
+            Fault::None | Fault::StalledWatches => return None,
+            Fault::Status(status) => {
+                let status = StatusCode::from_u16(status).expect("a status");
+                Some(answer(&state, status).finish())
+            }
+            Fault::Unresponsive => None,
         }
     };
-    match fault {
-        Fault::None | Fault::StalledWatches => None,
-        Fault::Status(status) => {
-            let status = actix_web::http::StatusCode::from_u16(status).expect("a status");
-            Some(HttpResponse::build(status).finish())
-        }
-        Fault::Unresponsive => {
-            std::future::pending::<()>().await;
-            None
-        }
+    if failure.is_none() {
+        std::future::pending::<()>().await;
     }
+    failure
 }
 
 #[derive(Deserialize)]
@@ -202,11 +244,11 @@
     }
     let state = lock(&shared.state);
     let Some(event) = state.items.get(&query.key) else {
-        return HttpResponse::NotFound().finish();
+        return answer(&state, StatusCode::NOT_FOUND).finish();
     };
     let mut body = event.json();
     body["store_revision"] = state.revision.into();
-    HttpResponse::Ok().json(body)
+    answer(&state, StatusCode::OK).json(body)
 }
 
 #[derive(Deserialize)]
@@ -232,7 +274,7 @@
         matches.filter(|event| event.key > after).take(PAGE_ITEMS + 1).map(Event::json).collect();
     let has_more = items.len() > PAGE_ITEMS;
     items.truncate(PAGE_ITEMS);
-    HttpResponse::Ok()
+    answer(&state, StatusCode::OK)
         .json(json!({"items": items, "has_more": has_more, "store_revision": state.revision}))
 }
 
@@ -257,11 +299,12 @@
         changed.borrow_and_update();
         {
             let state = lock(&shared.state);
-            if query.after < state.compacted_revision {
-                return HttpResponse::Gone().finish();
+            let is_unknown = query.after > state.revision;
+            if query.after < state.compacted_revision || is_unknown {
+                return answer(&state, StatusCode::GONE).finish();
             }
             if matches!(state.fault, Fault::Status(_)) || state.is_refused(&request) {
-                return HttpResponse::ServiceUnavailable().finish();
+                return answer(&state, StatusCode::SERVICE_UNAVAILABLE).finish();
             }
             let is_new = |event: &&Event| {
                 event.revision > query.after && event.key.starts_with(&query.prefix)
@@ -272,12 +315,12 @@
             };
             if !events.is_empty() {
                 let body = json!({"events": events, "store_revision": state.revision});
-                return HttpResponse::Ok().json(body);
+                return answer(&state, StatusCode::OK).json(body);
             }
         }
         if tokio::time::timeout_at(end, changed.changed()).await.is_err() {
             let body = json!({"events": [], "store_revision": query.after});
-            return HttpResponse::Ok().json(body);
+            return answer(&lock(&shared.state), StatusCode::OK).json(body);
         }
     }
 }
