--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -145,7 +145,7 @@
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
         PeerRequest::Demand(demand) => {
-            let shares = mesh.node.borrow_mut().coordinator().update(now, link.host, demand);
+            let shares = mesh.node.borrow_mut().share_rates(now, link.host, demand);
             send_response(link, number, PeerResponse::Shares(shares), Bytes::new());
         }
         PeerRequest::Crashes(message) => {
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -81,7 +81,7 @@
         while clock::now() < deadline {
             match self.directory.list_targets_stale().await {
                 Ok(targets) => {
-                    self.node.borrow_mut().add_peers(&targets);
+                    self.node.borrow_mut().add_peers(clock::now(), &targets);
                     if !targets.is_empty() {
                         return;
                     }
@@ -393,7 +393,7 @@
         if host == own_host {
             let now = clock::now();
             let mut node = self.node.borrow_mut();
-            if let Some(shares) = node.coordinator().update(now, own_host, demand) {
+            if let Some(shares) = node.share_rates(now, own_host, demand) {
                 node.rate_limiter().set_shares(now, shares);
             }
             return;
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -21,7 +21,7 @@
         lease::Lease,
         lineage::ActiveRuns,
         position::{Era, EraTracker, Position},
-        quota::{Coordinator, RateLimiter},
+        quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
         table::Table,
     },
@@ -201,9 +201,9 @@
         &mut self.rate_limiter
     }
 
-    /// Returns the coordinator state, which is used while this node is the coordinator.
-    pub fn coordinator(&mut self) -> &mut Coordinator {
-        &mut self.coordinator
+    /// Returns the shares of a node that reported its demand, while this node is the coordinator.
+    pub fn share_rates(&mut self, now: Instant, host: IpAddr, demand: Demand) -> Option<Shares> {
+        self.coordinator.update(now, host, demand, self.peers.len() + 1)
     }
 
     /// Marks the node as leaving.
@@ -300,8 +300,11 @@
 
     /// Adds the nodes beside these targets as peers. The targets themselves are not used, since
     /// their entries may be outdated.
-    pub fn add_peers(&mut self, targets: &[Target]) {
+    pub fn add_peers(&mut self, now: Instant, targets: &[Target]) {
         self.peers.set_targets(targets.iter());
+        if !targets.is_empty() {
+            self.rate_limiter.set_node_count(now, self.peers.len() + 1);
+        }
     }
 
     /// Returns the targets that are kept although their entries were removed.
--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -196,7 +196,9 @@
 
     fn fraction_for(&self, account: &id::Account) -> f64 {
         match &self.shares {
-            None => 1.0 / self.node_count.max(1) as f64,
+            // Until the node knows how many others there are, it must not refill its buckets.
+            None if self.node_count == 0 => 0.0,
+            None => 1.0 / self.node_count as f64,
             Some(shares) => f64::from(
                 shares
                     .by_account
@@ -250,13 +252,23 @@
 
 impl Coordinator {
     /// Records the demand of a node and returns its shares, or nothing during the warm-up.
-    pub fn update(&mut self, now: Instant, node: IpAddr, demand: Demand) -> Option<Shares> {
+    ///
+    /// `node_count` is the number of nodes that the coordinator knows of. Those that have not
+    /// reported may still use an even part of the rates, so it is left to them.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        node: IpAddr,
+        demand: Demand,
+        node_count: usize,
+    ) -> Option<Shares> {
         self.demands.retain(|_, (at, _)| now - *at < SILENT_NODE_RETENTION);
         if self.demands.is_empty() {
             self.since = Some(now);
         }
         self.demands.insert(node, (now, demand.clone()));
-        let nodes = self.demands.len() as f64;
+        let nodes = self.demands.len().max(node_count) as f64;
+        let reported = self.demands.len() as f64 / nodes;
         let even = EVEN_FRACTION / nodes;
         let mut shares =
             Shares { default_fraction: (IDLE_FRACTION / nodes) as f32, ..Shares::default() };
@@ -265,7 +277,8 @@
                 f64::from(demand.0.get(&account).copied().unwrap_or(0.0))
             };
             let sum: f64 = self.demands.values().map(demand_of).sum();
-            let fraction = even + (1.0 - EVEN_FRACTION) * f64::from(own) / sum.max(0.01);
+            let by_demand = reported * (1.0 - EVEN_FRACTION);
+            let fraction = even + by_demand * f64::from(own) / sum.max(0.01);
             shares
                 .by_account
                 .insert(account, Share { fraction: fraction as f32, demand: sum as f32 });
--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -107,10 +107,11 @@
     }
 
     fn exchange(&mut self) {
+        let count = self.nodes.len();
         for (i, node) in self.nodes.iter_mut().enumerate() {
             let demand = node.demand(PERIOD);
             let host = IpAddr::from([10, 0, 0, i as u8]);
-            if let Some(shares) = self.coordinator.update(self.now, host, demand) {
+            if let Some(shares) = self.coordinator.update(self.now, host, demand, count) {
                 node.set_shares(self.now, shares);
             }
         }
@@ -220,11 +221,11 @@
     let demand = || Demand([(account(), 50.0)].into());
     let host = |i: u8| IpAddr::from([10, 0, 0, i]);
     let mut now = Instant::from_millis(1);
-    assert_eq!(coordinator.update(now, host(1), demand()), None);
+    assert_eq!(coordinator.update(now, host(1), demand(), 2), None);
     now += Duration::from_millis(600);
-    assert_eq!(coordinator.update(now, host(2), demand()), None);
+    assert_eq!(coordinator.update(now, host(2), demand(), 2), None);
     now += Duration::from_millis(700);
-    let shares = coordinator.update(now, host(1), demand()).expect("shares");
+    let shares = coordinator.update(now, host(1), demand(), 2).expect("shares");
     let fraction = shares.by_account[&account()].fraction;
     assert!((fraction - 0.5).abs() < 0.01, "{fraction}");
 }
