mesh: do not send claims to silent peers, four candidates for readers, tables from the source at a start

They now ask the elected reader every other time. A source without tables is not taken for an outdated one.

--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -14,6 +14,7 @@
         mesh::{
             fact::Value,
             node::{Changes, Source},
+            position::Position,
             quota,
             read_schedule::{ReadSchedule, Role},
         },
@@ -165,11 +166,18 @@
         self.node.borrow_mut().record_outage(clock::now());
     }
 
+    /// Returns whether this node has to follow the changes on the platform by itself.
+    fn needs_changes(&self) -> bool {
+        let has_targets = self.node.borrow().facts().position() != Position::default();
+        let has_other_source = has_targets && self.source() != Source::Platform;
+        self.has_read_recently(clock::now()) && !has_other_source
+    }
+
     /// Watches the platform for changes while this node reads it.
     async fn watch_platform(self: Rc<Self>) {
         let mut is_listed = false;
         loop {
-            if !self.has_read_recently(clock::now()) {
+            if !self.needs_changes() {
                 is_listed = false;
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
@@ -214,10 +222,15 @@
     async fn confirm_document(self: Rc<Self>) {
         let started = clock::now();
         let mut schedule = ReadSchedule::default();
+        let mut last_role = None;
         loop {
             let now = clock::now();
             let place = self.node.borrow().peers().place(now);
-            if !schedule.is_due(now, self.role(started), place) {
+            let role = self.role(started);
+            if last_role.replace(role) != Some(role) {
+                log::info!(role:% = role, rank = place.rank, nodes = place.nodes; "role changed");
+            }
+            if !schedule.is_due(now, role, place) {
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
@@ -263,14 +276,19 @@
         let mut next = 0;
         loop {
             let is_stale = self.is_stale();
-            let host = match self.source() {
-                Source::Peer(host) if !is_stale => Some(host),
-                _ if is_stale => {
-                    let hosts = self.node.borrow().peers().search_order(clock::now());
+            let source = match self.source() {
+                Source::Peer(host) => Some(host),
+                Source::Platform => None,
+            };
+            let host = match is_stale {
+                false => source,
+                // The usual source is asked every other time.
+                true => {
+                    let order = self.node.borrow().peers().search_order(clock::now());
                     next += 1;
-                    hosts.get((next - 1) % hosts.len().max(1)).copied()
+                    let other = order.get((next / 2) % order.len().max(1)).copied();
+                    source.filter(|_| next % 2 == 0).or(other)
                 }
-                _ => None,
             };
             let is_fetched = match host {
                 Some(host) => self.fetch_facts(host).await,
@@ -322,7 +340,9 @@
             return false;
         };
         let now = clock::now();
-        let is_source = self.source() == Source::Peer(host);
+        // While this node starts, its source may be starting as well.
+        let has_tables = self.node.borrow().table().is_some();
+        let is_source = has_tables && self.source() == Source::Peer(host);
         let update = replication::decode(facts, position, response.extension.as_ref());
         let changes = {
             let mut node = self.node.borrow_mut();
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -261,7 +261,8 @@
     }
 
     /// Selects the target of the next attempt. Peers in `unresponsive` have not answered in time;
-    /// they are used only if there is no other.
+    /// they are used only if there is no other, and only for idempotent requests: of a request
+    /// that is sent to a peer behind a partition nobody knows whether it ran.
     ///
     /// # Errors
     ///
@@ -284,9 +285,11 @@
         let mut avoid = Vec::new();
         for target in self.fleet.iter().filter(|target| target.pool == call.pool) {
             let host = target.address.ip();
-            if !self.peers.is_usable(now, host) {
+            let is_unresponsive = unresponsive.contains(&host);
+            let must_not_gamble = is_unresponsive && !call.route.is_idempotent();
+            if must_not_gamble || !self.peers.is_usable(now, host) {
                 exclude.push(target.name.clone());
-            } else if unresponsive.contains(&host) {
+            } else if is_unresponsive {
                 avoid.push(target.name.clone());
             }
         }
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -18,6 +18,9 @@
 /// restart.
 const LEAVING_TTL: Duration = Duration::from_secs(8);
 
+/// The number of nodes of a data centre that may be elected to read the platform. Most of them have
+/// to be cut off from it before the others notice that their facts are old and look elsewhere.
+const READER_CANDIDATES: usize = 4;
 /// How long a peer with outdated facts is not used as a source of facts.
 const STALE_SOURCE_BACKOFF: Duration = Duration::from_secs(6);
 
@@ -160,17 +163,25 @@
         self.lowest_address(now, |_| true)
     }
 
-    /// Returns the source of this node's facts. In each data centre, the reachable node with the
-    /// lowest address reads the platform and the others replicate from it.
+    /// Returns the source of this node's facts. In each data centre, the first candidate by address
+    /// whose facts are not outdated reads the platform, and the others replicate from it.
     pub fn source(&self, now: Instant) -> Source {
         let own_data_centre = Some(&self.data_centre);
+        let usable = self.peers.iter().filter(|(_, peer)| {
+            peer.is_listed && !peer.is_excluded(now) && peer.data_centre.as_ref() == own_data_centre
+        });
+        let lower: Vec<(IpAddr, &Peer)> = usable
+            .map(|(host, peer)| (*host, peer))
+            .take_while(|(host, _)| *host < self.own_host)
+            .take(READER_CANDIDATES)
+            .collect();
         let is_fresh =
             |peer: &Peer| peer.stale_since.is_none_or(|since| now - since >= STALE_SOURCE_BACKOFF);
-        match self.lowest_address(now, |peer| {
-            peer.data_centre.as_ref() == own_data_centre && is_fresh(peer)
-        }) {
-            reader if reader == self.own_host => Source::Platform,
-            reader => Source::Peer(reader),
+        let fresh = lower.iter().find(|(_, peer)| is_fresh(peer));
+        let is_candidate = lower.len() < READER_CANDIDATES;
+        match fresh.or(lower.first().filter(|_| !is_candidate)) {
+            Some((host, _)) => Source::Peer(*host),
+            None => Source::Platform,
         }
     }
 
--- a/lib/src/mesh/read_schedule.rs
+++ b/lib/src/mesh/read_schedule.rs
@@ -4,7 +4,10 @@
 //! the nodes of the data centre probe the platform in turn, so that the load on a failing platform
 //! depends on the number of data centres and not on the number of nodes.
 
-use {crate::time::Instant, std::time::Duration};
+use {
+    crate::time::Instant,
+    std::{fmt, time::Duration},
+};
 
 /// The time between the probes of two nodes of a data centre. It adds to the time until the end of
 /// an outage is noticed.
@@ -32,6 +35,16 @@
     Follower,
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Reader => "reader",
+            Self::Prober => "prober",
+            Self::Follower => "follower",
+        })
+    }
+}
+
 /// The times of a node's reads of the platform.
 #[derive(Debug, Default)]
 pub struct ReadSchedule {
--- /dev/null
+++ b/lib/tests/silent_peers.rs
@@ -0,0 +1,147 @@
+//! Requests whose targets are beside peers that do not answer.
+
+use {
+    monsoon_lib::{
+        call::{Outcome, Reason},
+        id,
+        mesh::{
+            fact::{Fact, Heartbeat, Key, Target, Value},
+            node::{Head, Node, Settings},
+            position::{Era, Position},
+            table::{Bounds, Document, Kind, Route, WeightedPool},
+        },
+        time::Instant,
+        unit::{Bytes, Revision},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::IpAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+const NOW: Instant = Instant::from_millis(10_000);
+
+fn host(number: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, number])
+}
+
+fn route(name: &str, kind: Kind) -> Route {
+    Route {
+        name: name.parse().expect("a name"),
+        host: "shop.example".into(),
+        prefix: format!("/{name}/"),
+        pools: vec![WeightedPool { pool: "desk".parse().expect("a name"), weight: 1 }],
+        kind,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(1),
+        rank: 0,
+        attempts: 2,
+        is_open: true,
+    }
+}
+
+fn document() -> Document {
+    Document {
+        revision: Revision(1),
+        routes: vec![
+            route("read", Kind::Idempotent),
+            route("claim", Kind::NonIdempotent),
+            route("photo", Kind::Upload),
+            route("new", Kind::Unsupported),
+        ],
+        accounts: Vec::new(),
+        health: BTreeMap::new(),
+        bounds: Bounds {
+            head: Bytes(1 << 14),
+            body: Bytes(1 << 20),
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn target(number: u8) -> Target {
+    Target {
+        name: format!("t{number}").parse().expect("a name"),
+        pool: "desk".parse().expect("a name"),
+        address: (host(number), 80).into(),
+        data_centre: "za".parse().expect("a name"),
+        slots: 4,
+        is_leaving: false,
+        started_at_ms: 1,
+    }
+}
+
+/// Creates a node without a target of the pool, and two targets beside peers.
+fn node() -> Node {
+    let settings = Settings {
+        vm: "m1".parse().expect("a name"),
+        host: host(1),
+        data_centre: "za".parse().expect("a name"),
+        pool: "front".parse().expect("a name"),
+        target: (host(1), 80).into(),
+        withdrawal: Duration::from_secs(5),
+        resend_permille: 140,
+        resend_window: Duration::from_secs(10),
+    };
+    let mut node = Node::new(settings, 1);
+    let position = |revision| Position::new(Era(1), Revision(revision));
+    let mut facts = vec![Fact {
+        key: Key::Document,
+        position: position(1),
+        heartbeat: Heartbeat::default(),
+        value: Value::Document(Arc::new(document())),
+    }];
+    facts.extend([2, 3].map(|number| Fact {
+        key: Key::Target(target(number).name),
+        position: position(u64::from(number)),
+        heartbeat: Heartbeat { started_at_ms: 1, sequence: 1 },
+        value: Value::Target(target(number)),
+    }));
+    node.apply_listing(NOW, &facts, position(3));
+    node
+}
+
+fn head(path: &str) -> Head {
+    Head {
+        request: "r1".into(),
+        host: "shop.example".into(),
+        path: path.into(),
+        key: None,
+        caller_timeout: None,
+        content_hash: 0,
+    }
+}
+
+fn attempted(path: &str, unresponsive: &[u8]) -> Result<id::Vm, (Outcome, Reason)> {
+    let mut node = node();
+    let unresponsive: BTreeSet<IpAddr> = unresponsive.iter().map(|number| host(*number)).collect();
+    let mut call =
+        node.admit(NOW, &head(path)).map_err(|refusal| (refusal.outcome, refusal.reason))?;
+    let attempt = node.next_attempt(NOW, &mut call, &unresponsive);
+    attempt.map(|attempt| attempt.target).map_err(|refusal| (refusal.outcome, refusal.reason))
+}
+
+#[test]
+fn responsive_peer_preferred() {
+    for path in ["/read/x", "/claim/x", "/photo/x"] {
+        assert_eq!(attempted(path, &[2]), Ok(target(3).name), "{path}");
+    }
+}
+
+/// The peers may be behind a partition, and then nobody could say whether the request ran.
+#[test]
+fn claim_not_gambled() {
+    for path in ["/claim/x", "/photo/x"] {
+        assert_eq!(attempted(path, &[2, 3]), Err((Outcome::NotRun, Reason::NoTarget)), "{path}");
+    }
+    assert!(attempted("/read/x", &[2, 3]).is_ok(), "a read may run again elsewhere");
+}
+
+/// A route that can't be understood neither runs nor falls to another route.
+#[test]
+fn unsupported_route() {
+    assert_eq!(attempted("/new/x", &[]), Err((Outcome::NotRun, Reason::NoTables)));
+}
