--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -76,14 +76,16 @@
         });
     }
 
-    /// Finds the peers of a starting node by the entries of their targets.
+    /// Finds the peers of a starting node by the entries of their targets. Once its own target has
+    /// an entry, those of most others are there as well, even in a new deployment.
     async fn discover_peers(&self) {
+        let own_target = self.node.borrow().settings().target;
         let deadline = clock::now() + PEER_DISCOVERY_TIMEOUT;
         while clock::now() < deadline {
             match self.directory.list_targets_stale().await {
                 Ok(targets) => {
                     self.node.borrow_mut().add_peers(clock::now(), &targets);
-                    if !targets.is_empty() {
+                    if targets.iter().any(|target| target.address == own_target) {
                         return;
                     }
                 }
