mesh: bound the memory for bodies, say why a node is not ready

The readiness address and one log line a change tell why a node is not ready; before, it said nothing and logged the same invalid record once a second.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -4,6 +4,7 @@
 //! [`monsoon_lib::mesh::node::Node`]. See docs/design/platform.md.
 
 pub mod adapter;
+mod buffer;
 mod frame;
 mod front;
 mod link;
@@ -25,11 +26,15 @@
 
 use {
     adapter::{Directory, HeaderAdapter},
+    buffer::Buffer,
     link::Links,
     metrics::Metrics,
     monsoon_lib::{
         id,
-        mesh::{gate::Release, node::Node},
+        mesh::{
+            gate::Release,
+            node::{Node, NotReady},
+        },
         time::Instant,
     },
     std::{
@@ -50,6 +55,9 @@
     links: Links,
     target: Target,
     metrics: Metrics,
+    buffer: Buffer,
+    /// Why the node was not ready when this was last logged.
+    last_readiness: Cell<Result<(), NotReady>>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
     last_call_number: Cell<u64>,
     open_requests: Cell<usize>,
--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -4,14 +4,15 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        buffer::Reservation,
         relay::Reply,
     },
     crate::{clock, http::message::Request},
-    bytes::Bytes,
-    http_body_util::{BodyExt as _, Full, Limited},
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt as _, Full},
     hyper::{
         Response, StatusCode,
-        body::Incoming,
+        body::{Body as _, Incoming},
         header::{CONNECTION, HeaderName, HeaderValue},
         server::conn::http1,
         service::service_fn,
@@ -112,11 +113,13 @@
     mesh: &Mesh<H, D>,
     request: &hyper::Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+    let readiness = mesh.node.borrow().readiness(clock::now());
+    let body = readiness.err().map_or(String::new(), |cause| format!("{cause}\n"));
+    let mut response = Response::new(Full::from(body));
     let parts = hyper::Request::builder().method(request.method()).uri(request.uri()).body(());
     let is_probe =
         parts.is_ok_and(|request| mesh.header_adapter.is_readiness_probe(&request.into_parts().0));
-    *response.status_mut() = match (is_probe, mesh.node.borrow().is_ready(clock::now())) {
+    *response.status_mut() = match (is_probe, readiness.is_ok()) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -135,9 +138,13 @@
         Ok(head) => head,
         Err(refusal) => return refuse(mesh, &refusal, None),
     };
-    let body = match read_body(mesh, body).await {
+    let mut reservation = mesh.buffer.reservation();
+    let body = match read_body(mesh, body, &mut reservation).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(mesh, &refusal, Some(&head.request)),
+        Err(refusal) => {
+            mesh.log_refusal(&head, &refusal, None);
+            return refuse(mesh, &refusal, Some(&head.request));
+        }
     };
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let request = Request {
@@ -165,21 +172,43 @@
     response
 }
 
+/// Reads a request body within the limits on its size and on the memory of all requests.
 async fn read_body<H: HeaderAdapter, D: Directory>(
     mesh: &Mesh<H, D>,
     body: Incoming,
+    reservation: &mut Reservation,
 ) -> Result<Bytes, Refusal> {
     let limit = mesh.node.borrow().table().map_or(MAX_BODY_BYTES, |table| table.bounds().body.0);
+    let announced = body.size_hint().lower();
+    if announced > limit {
+        return Err(Refusal::not_run(Reason::TooLarge));
+    }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::TooLarge))
+    // A body that will not fit is refused before it is read.
+    reservation.grow(usize::try_from(announced).unwrap_or(usize::MAX))?;
+    let read = read_frames(body, announced as usize, limit, reservation);
+    let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
+    read.unwrap_or_else(|_| Err(Refusal::not_run(Reason::Deadline)))
+}
+
+async fn read_frames(
+    mut body: Incoming,
+    reserved: usize,
+    limit: usize,
+    reservation: &mut Reservation,
+) -> Result<Bytes, Refusal> {
+    let mut bytes = BytesMut::with_capacity(reserved);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::not_run(Reason::Malformed))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = bytes.len() + data.len();
+        if length > limit {
+            return Err(Refusal::not_run(Reason::TooLarge));
         }
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::Malformed)),
-        Err(_) => Err(Refusal::not_run(Reason::Deadline)),
+        reservation.grow(length.saturating_sub(reserved.max(bytes.len())))?;
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
 
 fn refuse<H: HeaderAdapter, D: Directory>(
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -25,6 +25,7 @@
     peers: IntGauge,
     tables: IntGauge,
     confirmed_age: IntGauge,
+    held_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -54,7 +55,18 @@
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
         )?;
-        Ok(Self { registry, answered, refused, in_flight, waiting, peers, tables, confirmed_age })
+        let held_bytes = gauge("monsoon_held_body_bytes", "Bytes of request bodies in memory.")?;
+        Ok(Self {
+            registry,
+            answered,
+            refused,
+            in_flight,
+            waiting,
+            peers,
+            tables,
+            confirmed_age,
+            held_bytes,
+        })
     }
 
     /// Records the latency of a target's response.
@@ -79,6 +91,7 @@
         metrics.peers.set(dump.peers as i64);
         metrics.tables.set(dump.table.map_or(0, |revision| revision.0 as i64));
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
+        metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&metrics.registry.gather(), &mut text) {
             log::warn!(error:% = error; "failed to encode metrics");
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        buffer::Reservation,
         frame::{self, Envelope, Extension, Frame, PeerRequest, PeerResponse, RunResult},
         link,
         replication::{self, Query},
@@ -127,8 +128,21 @@
             );
         }
         PeerRequest::Run { forwarded, method, target, fields } => {
+            let mut reservation = mesh.buffer.reservation();
+            if let Err(refusal) = reservation.grow(body.len()) {
+                let request = forwarded.request.as_str();
+                log::info!(request, host:% = link.host; "refused a request, bodies fill the buffer");
+                let result = RunResult::Refused(refusal);
+                send_response(
+                    link,
+                    number,
+                    PeerResponse::RunFinished { result, load: None, is_traced: false },
+                    Bytes::new(),
+                );
+                return;
+            }
             let request = Rc::new(Request { method, target, fields, body });
-            let task = handle_run(link.clone(), number, forwarded, request);
+            let task = handle_run(link.clone(), number, forwarded, request, reservation);
             let handle = tokio::task::spawn_local(task);
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
@@ -179,6 +193,7 @@
     number: u64,
     forwarded: monsoon_lib::mesh::node::ForwardedRequest,
     request: Rc<Request>,
+    _reservation: Reservation,
 ) {
     let _open_request = link.mesh.track_request();
     let (result, body) = link.mesh.run_locally(&forwarded, &request).await;
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        buffer::Buffer,
         frame::PeerRequest,
         front::{self, ListenerKind},
         link::Links,
@@ -103,6 +104,8 @@
         header_adapter,
         directory,
         metrics: Metrics::new()?,
+        buffer: Buffer::default(),
+        last_readiness: Cell::new(Ok(())),
         queued_calls: RefCell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -182,7 +182,8 @@
         }
     }
 
-    fn log_refusal(&self, head: &Head, refusal: &Refusal, call: Option<&Call>) {
+    /// Logs a refusal with the beliefs of the node that decided it.
+    pub fn log_refusal(&self, head: &Head, refusal: &Refusal, call: Option<&Call>) {
         let node = self.node.borrow();
         let now = clock::now();
         let age = node.lease().age(now).map(|age| age.as_millis() as u64);
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -384,6 +384,7 @@
             let now = clock::now();
             self.node.borrow_mut().tick(now);
             self.target.evict_expired();
+            self.log_readiness(now);
             if self.is_stale() {
                 // No node in reach can read the platform, so entries may lapse.
                 self.node.borrow_mut().record_outage(now);
@@ -399,6 +400,18 @@
         }
     }
 
+    /// Logs why the node is not ready, once for each change.
+    fn log_readiness(&self, now: Instant) {
+        let readiness = self.node.borrow().readiness(now);
+        if self.last_readiness.replace(readiness) == readiness {
+            return;
+        }
+        match readiness {
+            Ok(()) => log::info!("ready"),
+            Err(cause) => log::warn!(cause:% = cause; "not ready"),
+        }
+    }
+
     async fn ping_unreachable_peer(self: Rc<Self>, host: IpAddr) {
         if self.links.request(host, PeerRequest::Ping, Bytes::new()).await.is_ok() {
             log::info!(host:% = host; "peer is reachable again");
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -78,6 +78,23 @@
     pub resend_window: Duration,
 }
 
+/// The reasons why a node is not ready for requests of callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum NotReady {
+    /// No routing table is in force, since none was read or the one that was read is invalid.
+    #[error("no routing table; none was found or the one that was found is invalid")]
+    NoTables,
+    /// The targets are not known yet.
+    #[error("targets are not known yet")]
+    NoTargets,
+    /// Nothing has confirmed for too long that no key was withdrawn.
+    #[error("keys are not confirmed by the platform")]
+    KeysUnconfirmed,
+    /// The node is leaving.
+    #[error("leaving")]
+    Leaving,
+}
+
 /// The changes caused by a set of facts.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
@@ -217,11 +234,22 @@
     }
 
     /// Returns whether the node is ready for requests of callers.
-    pub fn is_ready(&self, now: Instant) -> bool {
-        let is_keyed = self.table.as_ref().is_some_and(|table| table.requires_key());
-        let has_keys = !is_keyed || self.lease.is_valid(now);
-        let knows_targets = self.facts.position() != Position::default();
-        self.table.is_some() && knows_targets && has_keys && !self.is_leaving
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it is not.
+    pub fn readiness(&self, now: Instant) -> Result<(), NotReady> {
+        let Some(table) = &self.table else { return Err(NotReady::NoTables) };
+        if self.is_leaving {
+            return Err(NotReady::Leaving);
+        }
+        if self.facts.position() == Position::default() {
+            return Err(NotReady::NoTargets);
+        }
+        match table.requires_key() && !self.lease.is_valid(now) {
+            true => Err(NotReady::KeysUnconfirmed),
+            false => Ok(()),
+        }
     }
 
     /// Returns the name of the local target's current instance, once its entry is known.
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -104,6 +104,15 @@
         Ok(send(self.socket_address(METRICS), &request).await?.body)
     }
 
+    /// Returns the highest memory use of the node so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.node.id());
+        let status = fs::read_to_string(path).expect("the node runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().strip_suffix(" kB"));
+        kilobytes.and_then(|text| text.trim().parse().ok()).expect("the peak memory in kB")
+    }
+
     /// Sends a signal to the node.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.node.id()).expect("a process id");
