--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -283,9 +283,11 @@
         }
         let mut exclude = call.attempted.clone();
         let mut avoid = Vec::new();
+        let silent = self.peers.silent_data_centres(now, unresponsive);
         for target in self.fleet.iter().filter(|target| target.pool == call.pool) {
             let host = target.address.ip();
-            let is_unresponsive = unresponsive.contains(&host);
+            let is_unresponsive =
+                unresponsive.contains(&host) || silent.contains(&target.data_centre);
             let must_not_gamble = is_unresponsive && !call.route.is_idempotent();
             if must_not_gamble || !self.peers.is_usable(now, host) {
                 exclude.push(target.name.clone());
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -9,7 +9,11 @@
         mesh::{fact::Target, read_schedule::Place},
         time::Instant,
     },
-    std::{collections::BTreeMap, net::IpAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::IpAddr,
+        time::Duration,
+    },
 };
 
 /// How long a peer without a target entry is kept after the last contact.
@@ -23,6 +27,11 @@
 const READER_CANDIDATES: usize = 4;
 /// How long a peer with outdated facts is not used as a source of facts.
 const STALE_SOURCE_BACKOFF: Duration = Duration::from_secs(6);
+/// The number of peers of a data centre that must be silent before all of it counts as cut off.
+const MIN_SILENT_PEERS: usize = 2;
+/// The time without contact to a data centre after which it may count as cut off. Responses of busy
+/// nodes in another region arrive within it.
+const SILENCE: Duration = Duration::from_millis(600);
 
 /// The state of a peer as seen by this node.
 #[derive(Clone, Debug)]
@@ -145,6 +154,38 @@
         self.peers.get(&host).is_none_or(|peer| !peer.is_excluded(now))
     }
 
+    /// Returns the data centres that are probably cut off from this one: several of their peers are
+    /// silent and none has answered lately. `unresponsive` are the peers whose responses are overdue.
+    ///
+    /// Each peer behind a partition would otherwise be found silent by itself, and the requests sent
+    /// to it until then would be lost.
+    pub fn silent_data_centres(
+        &self,
+        now: Instant,
+        unresponsive: &BTreeSet<IpAddr>,
+    ) -> BTreeSet<id::DataCentre> {
+        let mut silent: BTreeMap<&id::DataCentre, usize> = BTreeMap::new();
+        for (host, peer) in &self.peers {
+            if let Some(data_centre) = &peer.data_centre
+                && (peer.is_unreachable || unresponsive.contains(host))
+            {
+                *silent.entry(data_centre).or_default() += 1;
+            }
+        }
+        let was_contacted = |data_centre: &id::DataCentre| {
+            self.peers.values().any(|peer| {
+                peer.data_centre.as_ref() == Some(data_centre)
+                    && peer.last_contact.is_some_and(|at| now - at < SILENCE)
+            })
+        };
+        let suspects = silent.into_iter().filter(|(_, count)| *count >= MIN_SILENT_PEERS);
+        suspects
+            .filter(|(data_centre, _)| **data_centre != self.data_centre)
+            .filter(|(data_centre, _)| !was_contacted(data_centre))
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect()
+    }
+
     /// Drops peers without a target entry and without recent contact.
     pub fn tick(&mut self, now: Instant) {
         self.peers.retain(|_, peer| {
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -62,20 +62,22 @@
     }
 }
 
+/// Targets 2 and 3 are in the data centre of the node, 4 to 6 in another one.
 fn target(number: u8) -> Target {
+    let data_centre = if number < 4 { "za" } else { "zb" };
     Target {
         name: format!("t{number}").parse().expect("a name"),
         pool: "desk".parse().expect("a name"),
         address: (host(number), 80).into(),
-        data_centre: "za".parse().expect("a name"),
+        data_centre: data_centre.parse().expect("a name"),
         slots: 4,
         is_leaving: false,
         started_at_ms: 1,
     }
 }
 
-/// Creates a node without a target of the pool, and two targets beside peers.
-fn node() -> Node {
+/// Creates a node without a target of the pool, and the given targets beside peers.
+fn node(targets: &[u8]) -> Node {
     let settings = Settings {
         vm: "m1".parse().expect("a name"),
         host: host(1),
@@ -94,13 +96,13 @@
         heartbeat: Heartbeat::default(),
         value: Value::Document(Arc::new(document())),
     }];
-    facts.extend([2, 3].map(|number| Fact {
-        key: Key::Target(target(number).name),
-        position: position(u64::from(number)),
+    facts.extend(targets.iter().map(|number| Fact {
+        key: Key::Target(target(*number).name),
+        position: position(u64::from(*number)),
         heartbeat: Heartbeat { started_at_ms: 1, sequence: 1 },
-        value: Value::Target(target(number)),
+        value: Value::Target(target(*number)),
     }));
-    node.apply_listing(NOW, &facts, position(3));
+    node.apply_listing(NOW, &facts, position(9));
     node
 }
 
@@ -116,7 +118,14 @@
 }
 
 fn attempted(path: &str, unresponsive: &[u8]) -> Result<id::Vm, (Outcome, Reason)> {
-    let mut node = node();
+    attempted_by(&mut node(&[2, 3]), path, unresponsive)
+}
+
+fn attempted_by(
+    node: &mut Node,
+    path: &str,
+    unresponsive: &[u8],
+) -> Result<id::Vm, (Outcome, Reason)> {
     let unresponsive: BTreeSet<IpAddr> = unresponsive.iter().map(|number| host(*number)).collect();
     let mut call =
         node.admit(NOW, &head(path)).map_err(|refusal| (refusal.outcome, refusal.reason))?;
@@ -145,3 +154,16 @@
 fn unsupported_route() {
     assert_eq!(attempted("/new/x", &[]), Err((Outcome::NotRun, Reason::NoTables)));
 }
+
+/// Behind a partition all peers of a data centre are silent, but only those that were asked lately
+/// are known to be.
+#[test]
+fn silent_data_centre() {
+    let mut node = node(&[4, 5, 6]);
+    assert!(attempted_by(&mut node, "/claim/x", &[4]).is_ok(), "one silent peer");
+    let refused = Err((Outcome::NotRun, Reason::NoTarget));
+    assert_eq!(attempted_by(&mut node, "/claim/x", &[4, 5]), refused);
+    assert!(attempted_by(&mut node, "/read/x", &[4, 5]).is_ok(), "a read may run again");
+    node.peers_mut().record_contact(NOW, host(5), None);
+    assert!(attempted_by(&mut node, "/claim/x", &[4, 5]).is_ok(), "one of its peers has answered");
+}
