sync: the reader keeps trying, and goes on reading when an outdated source is due for a check

A source that did not read the platform was used again after 6 s, unasked, so that a node that had taken over stopped reading for a second. It is now asked first. A reader whose read failed tells the peers that wait for facts.

--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -219,9 +219,11 @@
     let mesh = &link.mesh;
     let arrived = clock::now();
     let deadline = tokio::time::Instant::now() + wait;
+    let was_reader = mesh.has_read_recently(arrived);
     loop {
         let changed = mesh.state_changed.notified();
-        if mesh.has_news_for(&query) {
+        let has_lost_platform = was_reader && !mesh.has_read_recently(clock::now());
+        if mesh.has_news_for(&query) || has_lost_platform {
             break;
         }
         if tokio::time::timeout_at(deadline, changed).await.is_err() {
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -100,7 +100,7 @@
     async fn ask_first_peers(self: &Rc<Self>) {
         let mut hosts = self.node.borrow().peers().search_order(clock::now());
         hosts.truncate(FIRST_PEERS);
-        let requests = hosts.into_iter().map(|host| self.fetch_facts(host));
+        let requests = hosts.into_iter().map(|host| self.fetch_facts(host, Duration::ZERO));
         let all = futures::future::join_all(requests);
         if tokio::time::timeout(FIRST_PEERS_TIMEOUT, all).await.is_err() {
             log::info!("not all peers answered before the first read of the platform");
@@ -243,7 +243,10 @@
                 }
                 Err(error) => {
                     self.on_read_error(&error, "document");
-                    schedule.record_failure(clock::now(), place);
+                    // Peers that wait for facts have to look for another source.
+                    self.last_platform_read.set(None);
+                    self.state_changed.notify_waiters();
+                    schedule.record_failure(clock::now(), role, place);
                 }
             }
         }
@@ -292,8 +295,9 @@
                     source.filter(|_| next % 2 == 0).or(other)
                 }
             };
+            let wait = if is_stale { Duration::ZERO } else { PEER_LONG_POLL };
             let is_fetched = match host {
-                Some(host) => self.fetch_facts(host).await,
+                Some(host) => self.fetch_facts(host, wait).await,
                 None => false,
             };
             match (is_fetched, is_stale) {
@@ -304,13 +308,10 @@
         }
     }
 
-    async fn fetch_facts(self: &Rc<Self>, host: IpAddr) -> bool {
+    /// Asks a peer for facts. Returns whether it answered; it may wait for the first one.
+    async fn fetch_facts(self: &Rc<Self>, host: IpAddr, wait: Duration) -> bool {
         let query =
             Query { after: self.node.borrow().facts().position(), document: self.table_revision() };
-        let wait = match self.is_stale() {
-            true => Duration::ZERO,
-            false => PEER_LONG_POLL,
-        };
         let requested_at = clock::now();
         let request =
             PeerRequest::Facts { after: query.after.revision, wait_ms: wait.as_millis() as u64 };
@@ -345,6 +346,7 @@
         // While this node starts, its source may be starting as well.
         let has_tables = self.node.borrow().table().is_some();
         let is_source = has_tables && self.source() == Source::Peer(host);
+        let is_recheck = self.node.borrow().peers().stale_sources(now).contains(&host);
         let update = replication::decode(facts, position, response.extension.as_ref());
         let changes = {
             let mut node = self.node.borrow_mut();
@@ -357,7 +359,10 @@
             if let Some(age_ms) = confirmed_age_ms {
                 node.confirm(subtract_age(requested_at, age_ms));
             }
-            if is_source && (!is_reader || update.position.era < query.after.era) {
+            let is_outdated = update.position.era < query.after.era;
+            if is_reader && !is_outdated {
+                node.peers_mut().mark_fresh(host);
+            } else if is_source || is_recheck {
                 node.peers_mut().mark_stale(now, host);
             }
             changes
@@ -389,6 +394,12 @@
                 // No node in reach can read the platform, so entries may lapse.
                 self.node.borrow_mut().record_outage(now);
             }
+            for host in self.node.borrow().peers().stale_sources(now) {
+                let mesh = self.clone();
+                tokio::task::spawn_local(
+                    async move { mesh.fetch_facts(host, Duration::ZERO).await },
+                );
+            }
             let unreachable = self.node.borrow().peers().unreachable_hosts();
             for host in unreachable {
                 tokio::task::spawn_local(self.clone().ping_unreachable_peer(host));
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -25,8 +25,8 @@
 /// The number of nodes of a data centre that may be elected to read the platform. Most of them have
 /// to be cut off from it before the others notice that their facts are old and look elsewhere.
 const READER_CANDIDATES: usize = 4;
-/// How long a peer with outdated facts is not used as a source of facts.
-const STALE_SOURCE_BACKOFF: Duration = Duration::from_secs(6);
+/// How often a candidate that did not read the platform is asked whether it does now.
+const STALE_SOURCE_RECHECK: Duration = Duration::from_secs(3);
 /// The number of peers of a data centre that must be silent before all of it counts as cut off.
 const MIN_SILENT_PEERS: usize = 2;
 /// The time without contact to a data centre after which it may count as cut off. Responses of busy
@@ -131,13 +131,30 @@
         }
     }
 
-    /// Records that a peer's facts are older than those of a node that reads the platform.
+    /// Records that a peer does not read the platform, so that it is not used as a source of facts
+    /// until [`Self::mark_fresh`].
     pub fn mark_stale(&mut self, now: Instant, host: IpAddr) {
         if let Some(peer) = self.peers.get_mut(&host) {
             peer.stale_since = Some(now);
         }
     }
 
+    /// Records that a peer reads the platform.
+    pub fn mark_fresh(&mut self, host: IpAddr) {
+        if let Some(peer) = self.peers.get_mut(&host) {
+            peer.stale_since = None;
+        }
+    }
+
+    /// Returns the peers with lower addresses that are due to be asked whether they read the
+    /// platform again. Meanwhile this node goes on with the source that it has.
+    pub fn stale_sources(&self, now: Instant) -> Vec<IpAddr> {
+        let is_due =
+            |peer: &Peer| peer.stale_since.is_some_and(|since| now - since >= STALE_SOURCE_RECHECK);
+        let lower = self.lower_candidates(now);
+        lower.into_iter().filter(|(_, peer)| is_due(peer)).map(|(host, _)| host).collect()
+    }
+
     /// Records that a peer started, so that it is no longer considered leaving.
     pub fn mark_started(&mut self, now: Instant, host: IpAddr, data_centre: id::DataCentre) {
         self.record_contact(now, host, Some(data_centre));
@@ -207,18 +224,8 @@
     /// Returns the source of this node's facts. In each data centre, the first candidate by address
     /// whose facts are not outdated reads the platform, and the others replicate from it.
     pub fn source(&self, now: Instant) -> Source {
-        let own_data_centre = Some(&self.data_centre);
-        let usable = self.peers.iter().filter(|(_, peer)| {
-            peer.is_listed && !peer.is_excluded(now) && peer.data_centre.as_ref() == own_data_centre
-        });
-        let lower: Vec<(IpAddr, &Peer)> = usable
-            .map(|(host, peer)| (*host, peer))
-            .take_while(|(host, _)| *host < self.own_host)
-            .take(READER_CANDIDATES)
-            .collect();
-        let is_fresh =
-            |peer: &Peer| peer.stale_since.is_none_or(|since| now - since >= STALE_SOURCE_BACKOFF);
-        let fresh = lower.iter().find(|(_, peer)| is_fresh(peer));
+        let lower = self.lower_candidates(now);
+        let fresh = lower.iter().find(|(_, peer)| peer.stale_since.is_none());
         let is_candidate = lower.len() < READER_CANDIDATES;
         match fresh.or(lower.first().filter(|_| !is_candidate)) {
             Some((host, _)) => Source::Peer(*host),
@@ -226,6 +233,16 @@
         }
     }
 
+    /// Returns the candidates for the reader of this data centre that come before this node.
+    fn lower_candidates(&self, now: Instant) -> Vec<(IpAddr, &Peer)> {
+        let own_data_centre = Some(&self.data_centre);
+        let usable = self.peers.iter().filter(|(_, peer)| {
+            peer.is_listed && !peer.is_excluded(now) && peer.data_centre.as_ref() == own_data_centre
+        });
+        let hosts = usable.map(|(host, peer)| (*host, peer));
+        hosts.take_while(|(host, _)| *host < self.own_host).take(READER_CANDIDATES).collect()
+    }
+
     /// Returns this node's place among the usable nodes of its data centre.
     pub fn place(&self, now: Instant) -> Place {
         let own_data_centre = Some(&self.data_centre);
--- a/lib/src/mesh/read_schedule.rs
+++ b/lib/src/mesh/read_schedule.rs
@@ -73,9 +73,14 @@
         self.next_probe = Some(now + interval);
     }
 
-    /// Records a failed read.
-    pub fn record_failure(&mut self, now: Instant, place: Place) {
+    /// Records a failed read. The reader tries again soon, since others wait for it; probers leave the
+    /// next attempts to each other.
+    pub fn record_failure(&mut self, now: Instant, role: Role, place: Place) {
         let turn = PROBE_STAGGER * u32::try_from(place.nodes).unwrap_or(u32::MAX);
-        self.next_probe = Some(now + turn.max(MIN_PROBE_PERIOD));
+        let wait = match role {
+            Role::Prober => turn.max(MIN_PROBE_PERIOD),
+            Role::Reader | Role::Follower => MIN_PROBE_PERIOD,
+        };
+        self.next_probe = Some(now + wait);
     }
 }
