--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -234,8 +234,8 @@
     let (message, extension) = {
         let node = mesh.node.borrow();
         let update = node.facts().update_after(query.after, query.document);
-        // A node that is cut off from the platform, but hears of it, knows nothing of an outage.
-        let is_informed = mesh.has_read_recently(now) || mesh.is_stale();
+        // A node that is cut off from the platform by itself knows nothing of an outage.
+        let is_informed = mesh.has_read_recently(now);
         let outage = node.fleet().last_outage().filter(|_| is_informed);
         let outage_age = outage.map(|at| now - at);
         let position = update.position.revision;
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -135,7 +135,7 @@
 
     /// Returns whether it is so long since the last confirmation that this node asks other peers than
     /// its usual source.
-    pub fn is_stale(&self) -> bool {
+    fn is_stale(&self) -> bool {
         self.node.borrow().lease().age(clock::now()).is_none_or(|age| age > STALE_AFTER)
     }
 
@@ -390,10 +390,6 @@
             self.node.borrow_mut().tick(now);
             self.target.evict_expired();
             self.log_readiness(now);
-            if self.is_stale() {
-                // No node in reach can read the platform, so entries may lapse.
-                self.node.borrow_mut().record_outage(now);
-            }
             for host in self.node.borrow().peers().stale_sources(now) {
                 let mesh = self.clone();
                 tokio::task::spawn_local(
