--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -27,6 +27,11 @@
 const MAX_BODY_BYTES: u64 = 64 << 20;
 /// The read buffer of a connection, in bytes. It holds the largest request head that tables allow.
 const READ_BUFFER_BYTES: usize = 64 << 10;
+/// How many bytes of a refused body are read, so that the caller can read the answer: a connection
+/// that is closed with unread bytes is reset.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// How long this may take.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a caller may take to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// The delay after a failed accept, which is mostly due to a lack of file descriptors.
@@ -181,11 +186,15 @@
     let limit = mesh.node.borrow().table().map_or(MAX_BODY_BYTES, |table| table.bounds().body.0);
     let announced = body.size_hint().lower();
     if announced > limit {
+        discard(body).await;
         return Err(Refusal::not_run(Reason::TooLarge));
     }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
     // A body that will not fit is refused before it is read.
-    reservation.grow(usize::try_from(announced).unwrap_or(usize::MAX))?;
+    if let Err(refusal) = reservation.grow(usize::try_from(announced).unwrap_or(usize::MAX)) {
+        discard(body).await;
+        return Err(refusal);
+    }
     let read = read_frames(body, announced as usize, limit, reservation);
     let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
     read.unwrap_or_else(|_| Err(Refusal::not_run(Reason::Deadline)))
@@ -203,6 +212,7 @@
         let Ok(data) = frame.into_data() else { continue };
         let length = bytes.len() + data.len();
         if length > limit {
+            discard(body).await;
             return Err(Refusal::not_run(Reason::TooLarge));
         }
         reservation.grow(length.saturating_sub(reserved.max(bytes.len())))?;
@@ -211,6 +221,21 @@
     Ok(bytes.freeze())
 }
 
+/// Reads the rest of a refused body without keeping it.
+async fn discard(mut body: Incoming) {
+    let mut discarded = 0;
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    // A caller that sends more, or slowly, may not see the answer.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+}
+
 fn refuse<H: HeaderAdapter, D: Directory>(
     mesh: &Mesh<H, D>,
     refusal: &Refusal,
