mesh: log numbers as numbers, and how far the facts are behind the store

Each read of the document states the store's revision, which was thrown away. It is kept now, shown as monsoon_store_revision beside monsoon_facts_revision, and logged once when the facts have been behind it for a second. 'targets changed' says how many leave.

Optional values were logged in debug form, as the text Some(952). They are numbers now, and absent ones are left out.

No decision has changed.

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -8,7 +8,7 @@
     fern::Dispatch,
     log::{
         LevelFilter, Record, SetLoggerError,
-        kv::{Error as FieldError, Key, Value, VisitSource},
+        kv::{Error as FieldError, Key, Value, VisitSource, VisitValue},
     },
     monsoon_lib::settings::{Level, Log},
     serde_json::Map,
@@ -72,18 +72,53 @@
         .apply()
 }
 
-/// The structured fields of a log record, as JSON.
+/// A field's value as JSON, or `None` for the value of an absent option.
+#[derive(Default)]
+struct Json(Option<serde_json::Value>);
+
+impl<'v> VisitValue<'v> for Json {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), FieldError> {
+        self.0 = Some(value.to_string().into());
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), FieldError> {
+        self.0 = None;
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, value: u64) -> Result<(), FieldError> {
+        self.0 = Some(value.into());
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, value: i64) -> Result<(), FieldError> {
+        self.0 = Some(value.into());
+        Ok(())
+    }
+
+    fn visit_f64(&mut self, value: f64) -> Result<(), FieldError> {
+        self.0 = Some(value.into());
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, value: bool) -> Result<(), FieldError> {
+        self.0 = Some(value.into());
+        Ok(())
+    }
+}
+
+/// The structured fields of a log record, as JSON. Absent options are left out.
 #[derive(Default)]
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), FieldError> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (None, Some(boolean)) => boolean.into(),
-            (None, None) => value.to_string().into(),
-        };
-        self.0.insert(key.as_str().to_owned(), value);
+        let mut json = Json::default();
+        value.visit(&mut json)?;
+        if let Some(value) = json.0 {
+            self.0.insert(key.as_str().to_owned(), value);
+        }
         Ok(())
     }
 }
--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -58,6 +58,8 @@
     buffer: Buffer,
     /// Why the node was not ready when this was last logged.
     last_readiness: Cell<Result<(), NotReady>>,
+    /// Whether the facts were behind the store when this was last logged.
+    is_behind: Cell<bool>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
     last_call_number: Cell<u64>,
     open_requests: Cell<usize>,
--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -81,8 +81,9 @@
 /// The result of a read of the document.
 #[derive(Clone, Debug)]
 pub struct DocumentRead {
-    /// The era of the directory at the time of the read.
-    pub era: Era,
+    /// A position that the directory had reached at the time of the read, in its era then. The
+    /// revision is 0 if the directory does not state it.
+    pub position: Position,
     /// The document, or `None` if there is none or it can't be decoded.
     pub fact: Option<Fact>,
 }
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -24,6 +24,8 @@
     waiting: IntGauge,
     peers: IntGauge,
     tables: IntGauge,
+    facts_revision: IntGauge,
+    store_revision: IntGauge,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
 }
@@ -51,6 +53,12 @@
         let waiting = gauge("monsoon_waiting", "Calls that wait for the own target.")?;
         let peers = gauge("monsoon_peers", "Known peers.")?;
         let tables = gauge("monsoon_tables_revision", "Revision of the tables in force.")?;
+        let facts_revision = gauge(
+            "monsoon_facts_revision",
+            "Revision of the store up to which no fact is missing.",
+        )?;
+        let store_revision =
+            gauge("monsoon_store_revision", "Latest revision that a read found the store at.")?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -64,6 +72,8 @@
             waiting,
             peers,
             tables,
+            facts_revision,
+            store_revision,
             confirmed_age,
             held_bytes,
         })
@@ -90,6 +100,8 @@
         metrics.waiting.set(dump.waiting as i64);
         metrics.peers.set(dump.peers as i64);
         metrics.tables.set(dump.table.map_or(0, |revision| revision.0 as i64));
+        metrics.facts_revision.set(dump.position.revision.0 as i64);
+        metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         let mut text = String::new();
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -106,6 +106,7 @@
         metrics: Metrics::new()?,
         buffer: Buffer::default(),
         last_readiness: Cell::new(Ok(())),
+        is_behind: Cell::default(),
         queued_calls: RefCell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -129,8 +129,10 @@
             log::info!(
                 request = in_flight.call.request.as_str(),
                 target = in_flight.attempt.target.as_str(),
-                end:? = attempt_result,
-                next:? = next;
+                end = attempt_result.as_str(),
+                reason = attempt_result.reason().map(Reason::as_str),
+                next = next.as_str(),
+                retry_after_ms = next.retry_after().map(|wait| wait.as_millis() as u64);
                 "attempt failed"
             );
         }
@@ -197,11 +199,11 @@
             request = head.request.as_str(),
             reason = refusal.reason.as_str(),
             outcome = refusal.outcome.as_str(),
-            retry_after_ms:? = wait,
+            retry_after_ms = wait,
             route,
             account,
-            tables:? = revision,
-            confirmed_age_ms:? = age;
+            tables = revision,
+            confirmed_age_ms = age;
             "refused"
         );
     }
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -59,6 +59,8 @@
 /// How long a starting node that is not the reader of its data centre waits for tables from peers
 /// before it reads the platform itself.
 const START_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long the facts have to be behind the store before this is logged.
+const LAG_LOGGED_AFTER: Duration = Duration::from_millis(1_000);
 /// The interval of the node's periodic work.
 const TICK_INTERVAL: Duration = quota::PERIOD;
 
@@ -156,7 +158,11 @@
         if changes.has_target_changes {
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
-            log::info!(position:% = node.facts().position(), targets, from; "targets changed");
+            let leaving = node.fleet().iter().filter(|target| target.is_leaving).count();
+            log::info!(
+                position:% = node.facts().position(), targets, leaving, from;
+                "targets changed"
+            );
             drop(node);
             self.check_missing_targets();
         }
@@ -255,18 +261,19 @@
     fn on_document(self: &Rc<Self>, requested_at: Instant, read: DocumentRead) {
         self.last_platform_read.set(Some(requested_at));
         let now = clock::now();
-        if self.node.borrow_mut().record_era(now, read.era) {
+        if self.node.borrow_mut().record_era(now, read.position.era) {
             self.store_restored.notify_waiters();
         }
+        self.node.borrow_mut().record_store_position(now, read.position);
         let Some(fact) = read.fact else { return };
         let position = self.node.borrow().facts().position();
         let Value::Document(document) = &fact.value else { return };
         let found = document.revision;
         let changes = self.node.borrow_mut().apply(now, &[fact], position);
-        if !self.node.borrow_mut().confirm_read(requested_at, read.era, found) {
+        if !self.node.borrow_mut().confirm_read(requested_at, read.position.era, found) {
             let in_force = self.table_revision();
             log::info!(
-                found:% = found, in_force:% = in_force, era:% = read.era;
+                found = found.0, in_force = in_force.0, era = read.position.era.0;
                 "a read of the document does not confirm the tables in force"
             );
         }
@@ -390,6 +397,7 @@
             self.node.borrow_mut().tick(now);
             self.target.evict_expired();
             self.log_readiness(now);
+            self.log_lag(now);
             for host in self.node.borrow().peers().stale_sources(now) {
                 let mesh = self.clone();
                 tokio::task::spawn_local(
@@ -419,6 +427,26 @@
         }
     }
 
+    /// Logs once when the facts have been behind the store for `LAG_LOGGED_AFTER`, and when they are
+    /// complete again.
+    fn log_lag(&self, now: Instant) {
+        let node = self.node.borrow();
+        let lag = node.lag().duration(now);
+        let is_behind = lag.is_some_and(|lag| lag >= LAG_LOGGED_AFTER);
+        if self.is_behind.replace(is_behind) == is_behind {
+            return;
+        }
+        let (position, store) = (node.facts().position(), node.lag().latest());
+        let behind_ms = lag.map(|lag| lag.as_millis() as u64);
+        match is_behind {
+            true => log::warn!(
+                position:% = position, store:% = store, behind_ms;
+                "facts are behind the store"
+            ),
+            false => log::info!(position:% = position; "facts are complete again"),
+        }
+    }
+
     async fn ping_unreachable_peer(self: Rc<Self>, host: IpAddr) {
         if self.links.request(host, PeerRequest::Ping, Bytes::new()).await.is_ok() {
             log::info!(host:% = host; "peer is reachable again");
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -7,6 +7,7 @@
 pub mod fact;
 pub mod fleet;
 pub mod gate;
+pub mod lag;
 pub mod lease;
 pub mod lineage;
 pub mod node;
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -4,12 +4,14 @@
 //! that the driver keeps: [`Node::admit`] creates it, [`Node::next_attempt`] selects the next
 //! target, and [`Node::finish_attempt`] decides whether to resend.
 
+mod attempt;
 mod call;
 mod peers;
 mod weighted_round_robin;
 
 pub use {
-    call::{Attempt, AttemptResult, Call, ForwardedRequest, Head, NextStep},
+    attempt::{Attempt, AttemptResult, ForwardedRequest, NextStep},
+    call::{Call, Head},
     peers::{Peer, Source},
 };
 
@@ -18,6 +20,7 @@
         fact::{Fact, FactStore, Key, Target, Update, Value},
         fleet::Fleet,
         gate::Gate,
+        lag::Lag,
         lease::Lease,
         lineage::ActiveRuns,
         position::{Era, EraTracker, Position},
@@ -109,6 +112,7 @@
 pub struct Node {
     settings: Settings,
     facts: FactStore,
+    lag: Lag,
     eras: EraTracker,
     table: Option<Arc<Table>>,
     lease: Lease,
@@ -132,6 +136,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Self {
             facts: FactStore::default(),
+            lag: Lag::default(),
             eras: EraTracker::default(),
             table: None,
             lease: Lease::new(settings.withdrawal),
@@ -266,6 +271,7 @@
             }
         }
         self.facts.advance_position(position);
+        self.lag.record_facts(self.facts.position());
         if changes.has_target_changes || changes.table.is_some() {
             self.refresh(now);
         }
@@ -326,6 +332,16 @@
         is_confirmed
     }
 
+    /// Records that a read found the store at this position.
+    pub fn record_store_position(&mut self, now: Instant, position: Position) {
+        self.lag.record_store(now, position, self.facts.position());
+    }
+
+    /// Returns how far the facts are behind the store.
+    pub fn lag(&self) -> &Lag {
+        &self.lag
+    }
+
     /// Adds the nodes beside these targets as peers. The targets themselves are not used, since
     /// their entries may be outdated.
     pub fn add_peers(&mut self, now: Instant, targets: &[Target]) {
@@ -377,6 +393,7 @@
             vm: self.settings.vm.clone(),
             table: self.table.as_ref().map(|table| table.revision()),
             position: self.facts.position(),
+            store: self.lag.latest(),
             confirmed_age_ms: self.lease.age(now).map(|age| age.as_millis() as u64),
             targets: self.fleet.iter().count(),
             peers: self.peers.len(),
@@ -476,6 +493,8 @@
     pub table: Option<Revision>,
     /// The position up to which the facts are complete.
     pub position: Position,
+    /// The latest position that the store is known to have reached.
+    pub store: Position,
     /// The time since the document was last known to be the newest one.
     pub confirmed_age_ms: Option<u64>,
     /// The number of targets.
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -1,20 +1,22 @@
 //! The lifecycle of a request: admission, selection of targets, and handling of each result.
 
 use {
-    super::Node,
+    super::{
+        Node,
+        attempt::{Attempt, AttemptResult, ForwardedRequest, NextStep},
+    },
     crate::{
         admission::CallResult,
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
         mesh::{
-            gate::{AdmissionRequest, Rank},
+            gate::Rank,
             lineage::{self, Lineage},
             table::{Kind, Route},
         },
         time::Instant,
     },
-    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeSet, HashMap},
         hash::{Hash as _, Hasher as _},
@@ -98,82 +100,6 @@
     hash_fraction: f64,
 }
 
-/// One attempt to send a request to a target.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Attempt {
-    /// The instance of the target.
-    pub target: id::Vm,
-    /// The address of the VM that the target and its node run on.
-    pub host: IpAddr,
-    /// Whether the target is the local one of this node.
-    pub is_own: bool,
-    /// The time left until the deadline.
-    pub remaining: Duration,
-}
-
-/// The result of an attempt, without the answer itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AttemptResult {
-    /// The target ran the request and gave a complete answer.
-    Answered {
-        /// Whether the target reports a failure.
-        has_failed: bool,
-    },
-    /// The request was refused before it reached a target.
-    Refused(Refusal),
-    /// The request reached the target, which reports that it did not run it.
-    Declined(Refusal),
-    /// No complete answer was received; the target may have run the request.
-    Lost(Reason),
-}
-
-/// The next step after an attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NextStep {
-    /// Pass the answer to the caller.
-    Answer,
-    /// Send the request again.
-    Resend,
-    /// Refuse the request.
-    Refuse(Refusal),
-}
-
-/// A request as forwarded to the node of the target.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ForwardedRequest {
-    /// The request id chosen by the caller.
-    pub request: String,
-    /// The instance of the target.
-    pub target: id::Vm,
-    /// The pool of the node that forwards the request.
-    pub caller: id::Pool,
-    /// The account that the request is charged to.
-    pub account: Option<id::Account>,
-    /// The queueing order of the request.
-    pub rank: Rank,
-    /// Whether the request repeats an earlier attempt, or is a call of a run that does.
-    pub is_repeat: bool,
-    /// Whether the request may safely run more than once.
-    pub is_idempotent: bool,
-    /// A hash of account and content, which identifies requests that crash targets.
-    pub fingerprint: u64,
-    /// The remainder of the latency objective.
-    pub objective: Duration,
-    /// The time left until the deadline.
-    pub remaining: Duration,
-}
-
-impl ForwardedRequest {
-    /// Returns the input for the admission control of the target.
-    pub fn admission_request(&self, now: Instant) -> AdmissionRequest {
-        AdmissionRequest {
-            rank: self.rank,
-            objective: self.objective,
-            deadline: now + self.remaining,
-        }
-    }
-}
-
 /// The longest caller timeout seen on each route. A caller that retries after a refusal has less
 /// time left.
 #[derive(Debug, Default)]
--- a/testutils/src/mesh/store.rs
+++ b/testutils/src/mesh/store.rs
@@ -28,10 +28,12 @@
     None,
     /// Every call is answered with this status.
     Status(u16),
-    /// No call is answered.
+    /// No call is answered, also after the fault has ended.
     Unresponsive,
     /// Watches report no changes. Reads and ranges work.
     StalledWatches,
+    /// Watches report no changes, and ranges are answered with status 503. Single items can be read.
+    ItemsOnly,
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +63,8 @@
     /// The number of restores, plus one.
     era: u64,
     refused_addresses: Vec<IpAddr>,
+    /// The number of times that the store became unresponsive.
+    silences: u64,
     calls: u64,
 }
 
@@ -176,9 +180,13 @@
         self.changed.send_modify(|_| {});
     }
 
-    /// Sets the fault. Waiting watches notice it at once.
+    /// Sets the fault. Waiting watches notice it at once. Those that wait when the store becomes
+    /// unresponsive are never answered.
     pub fn fail(&self, fault: Fault) {
-        lock(&self.state).fault = fault;
+        let mut state = lock(&self.state);
+        state.silences += u64::from(fault == Fault::Unresponsive);
+        state.fault = fault;
+        drop(state);
         self.changed.send_modify(|_| {});
     }
 }
@@ -215,7 +223,7 @@
             false => state.fault,
         };
         match fault {
-            Fault::None | Fault::StalledWatches => return None,
+            Fault::None | Fault::StalledWatches | Fault::ItemsOnly => return None,
             Fault::Status(status) => {
                 let status = StatusCode::from_u16(status).expect("a status");
                 Some(answer(&state, status).finish())
@@ -268,6 +276,9 @@
         return answer;
     }
     let state = lock(&shared.state);
+    if state.fault == Fault::ItemsOnly {
+        return answer(&state, StatusCode::SERVICE_UNAVAILABLE).finish();
+    }
     let after = query.after.clone().unwrap_or_default();
     let matches = state.items.values().filter(|event| event.key.starts_with(&query.prefix));
     let mut items: Vec<Value> =
@@ -295,8 +306,12 @@
     }
     let end = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
     let mut changed = shared.changed.clone();
+    let silences = lock(&shared.state).silences;
     loop {
         changed.borrow_and_update();
+        if lock(&shared.state).silences != silences {
+            std::future::pending::<()>().await;
+        }
         {
             let state = lock(&shared.state);
             let is_unknown = query.after > state.revision;
