sync: give up a watch that does not report changes which a read has seen

Callers' requests reached targets that had said they leave, up to 2.4 s after the store had acknowledged it, until the target exited and cut off what it ran.

Cause: changes of targets came by the watch alone, and nothing but its time limit of 20.9 s ended a watch that hangs. One that waits when the store falls silent gets no answer any more, while new reads work. The class of fault: silence of one subscription taken for the absence of news.

Ruled out: late spread between nodes and requests sent in spite of a known change (no 'targets changed' on any node); dropped changes (a watch that returns makes more calls, the store counted none).

Each read of the document, once a second, states the store's revision. When facts are behind it for 250 ms, the watch is given up and the store is listed. That finds lost watches and deaf ones, costs no call while watches work, and bounds the delay by 1 s + 250 ms + the time of a listing. Keep-alives were rejected: the connection is sound, only the answer is lost.

Before: 30 requests reach the target in drain::watch_lost_in_outage and in drain::watch_without_changes.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -69,6 +69,8 @@
     last_platform_read: Cell<Option<Instant>>,
     /// Notified when the platform's store was restored, so that a waiting watch is given up.
     store_restored: Notify,
+    /// Notified after each read of the document.
+    document_read: Notify,
     vouching: VouchState,
     /// Calls whose connections to the node's own target broke, until a probe has shown whether the
     /// target crashed.
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -114,6 +114,7 @@
         state_changed: Notify::new(),
         last_platform_read: Cell::default(),
         store_restored: Notify::new(),
+        document_read: Notify::new(),
         vouching: VouchState::default(),
         broken_calls: RefCell::default(),
     });
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -198,6 +198,14 @@
                         is_listed = false;
                         continue;
                     }
+                    () = self.watch_overdue() => {
+                        log::warn!(
+                            position:% = position, store:% = self.node.borrow().lag().latest();
+                            "watch gave up, it does not report the changes of the store"
+                        );
+                        is_listed = false;
+                        continue;
+                    }
                 },
                 false => self.directory.list().await,
             };
@@ -226,6 +234,20 @@
         }
     }
 
+    /// Completes when the watch has not reported changes that a read of the document found the store
+    /// to have.
+    async fn watch_overdue(&self) {
+        loop {
+            let give_up_at = self.node.borrow().lag().give_up_watch_at();
+            let now = clock::now();
+            match give_up_at {
+                Some(at) if at <= now => return,
+                Some(at) => tokio::time::sleep(at - now).await,
+                None => self.document_read.notified().await,
+            }
+        }
+    }
+
     /// Periodically confirms the document with the platform while this node reads it.
     async fn confirm_document(self: Rc<Self>) {
         let started = clock::now();
@@ -265,6 +287,7 @@
             self.store_restored.notify_waiters();
         }
         self.node.borrow_mut().record_store_position(now, read.position);
+        self.document_read.notify_waiters();
         let Some(fact) = read.fact else { return };
         let position = self.node.borrow().facts().position();
         let Value::Document(document) = &fact.value else { return };
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -493,7 +493,7 @@
     pub table: Option<Revision>,
     /// The position up to which the facts are complete.
     pub position: Position,
-    /// The latest position that the store is known to have reached.
+    /// The position at which the last read found the store.
     pub store: Position,
     /// The time since the document was last known to be the newest one.
     pub confirmed_age_ms: Option<u64>,
