mesh: stop sending to targets that say in responses that they are leaving

The users' platform has a new field, Server-Leaving, in all responses of a server that leaves. Nodes that are cut off from the store learn of a departure by it, and nodes that are not learn sooner. Before, nothing read it.

A target's announcements are part of the model now: the adapter decodes the field to an Announcement, and the fleet keeps a departure for the incarnation of the target that said so, whatever its entry says later and if the entry is lost and comes back. A new incarnation under the same name starts afresh. The field rides in the answer that the node of the target returns anyway, so nothing between nodes has changed.

The node of a leaving target refuses requests as not run from a quarter of the time to drain on, counted from when it learned of it.

--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -8,6 +8,7 @@
         call::Refusal,
         id,
         mesh::{
+            announcement::Announcement,
             fact::{Fact, Target},
             node::{ForwardedRequest, Head},
             position::{Era, Position},
@@ -58,6 +59,9 @@
     fn classify_response(&self, request: &str, status: u16, headers: &HeaderMap)
     -> ResponseVerdict;
 
+    /// Returns what a target says about itself in the end-to-end `fields` of a response.
+    fn announcement(&self, fields: &[Field]) -> Announcement;
+
     /// Returns the response that reports a refusal to the caller.
     fn refusal_response(&self, refusal: &Refusal, request: Option<&str>) -> RefusalResponse;
 
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         clock,
-        http::message::{Answer, Request},
+        http::message::{Answer, Field, Request},
     },
     bytes::Bytes,
     monsoon_lib::{
@@ -109,6 +109,9 @@
             Decision::Refused(wait) => return Err(overload_refusal(wait)),
         }
         slot.is_running = true;
+        if self.node.borrow().is_closed(clock::now(), &forwarded.target) {
+            return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
+        }
         if let Err(refusal) = self.node.borrow_mut().crash_tracker().check(forwarded.fingerprint) {
             return Err(RunResult::Refused(refusal));
         }
@@ -122,13 +125,18 @@
             .target
             .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
             .await;
+        if let ExchangeResult::Answered { answer: Answer { fields, .. }, .. }
+        | ExchangeResult::Declined { fields, .. } = &exchange
+        {
+            self.record_announcement(&forwarded.target, fields);
+        }
         slot.is_broken = matches!(exchange, ExchangeResult::MayHaveRun(Reason::Broken, _));
         match exchange {
             ExchangeResult::Answered { has_failed, answer } => {
                 slot.has_answer = true;
                 Ok((has_failed, answer))
             }
-            ExchangeResult::Declined(refusal) => Err(RunResult::Declined(refusal)),
+            ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal)),
             ExchangeResult::Unreachable(error) => {
                 log::warn!(
                     request = forwarded.request.as_str(), error:% = error;
@@ -146,6 +154,15 @@
         }
     }
 
+    /// Records what a target says about itself in the header fields of a response.
+    pub fn record_announcement(&self, target: &id::Vm, fields: &[Field]) {
+        let announcement = self.header_adapter.announcement(fields);
+        let now = clock::now();
+        if self.node.borrow_mut().record_announcement(now, target, &announcement) {
+            log::info!(target = target.as_str(); "target says that it is leaving");
+        }
+    }
+
     /// Checks whether a connection broke because the target crashed. A crashed target accepts no
     /// new connections, and every request that it was running is suspected of causing the crash.
     fn check_for_crash(self: &Rc<Self>, call: id::Call) {
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -153,6 +153,9 @@
         };
         match self.links.request(attempt.host, run, request.body.clone()).await {
             Ok((PeerResponse::RunFinished { result, load, is_traced }, body)) => {
+                if let RunResult::Answered { fields, .. } = &result {
+                    self.record_announcement(&attempt.target, fields);
+                }
                 let now = clock::now();
                 let mut node = self.node.borrow_mut();
                 node.peers_mut().record_contact(now, attempt.host, None);
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -51,7 +51,12 @@
         answer: Answer,
     },
     /// The target reports that it did not execute the request.
-    Declined(Refusal),
+    Declined {
+        /// The refusal for the caller.
+        refusal: Refusal,
+        /// The header fields of the response.
+        fields: Vec<Field>,
+    },
     /// The request was not sent.
     Unreachable(io::Error),
     /// The request may have been executed. The text describes the cause.
@@ -141,7 +146,8 @@
             ),
             ResponseVerdict::NotExecuted(refusal) => {
                 self.return_to_pool(sender, connection, &headers);
-                ExchangeResult::Declined(refusal)
+                let fields = end_to_end_fields(&headers, |_| true);
+                ExchangeResult::Declined { refusal, fields }
             }
             ResponseVerdict::Executed { has_failed } => {
                 self.return_to_pool(sender, connection, &headers);
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -4,6 +4,7 @@
 //! platform adapter converts what it reads into [`fact::Fact`]s; this module holds all decisions
 //! based on them and does no I/O. See docs/design/platform.md.
 
+pub mod announcement;
 pub mod fact;
 pub mod fleet;
 pub mod gate;
--- a/lib/src/mesh/fleet.rs
+++ b/lib/src/mesh/fleet.rs
@@ -4,6 +4,9 @@
 //! that is still alive, so it is kept for [`OUTAGE_GRACE`] after the platform has recovered. A
 //! target may also be partitioned from the platform alone. Therefore the node on the VM of each
 //! target whose entry was removed is asked, and the target is kept while that node vouches for it.
+//!
+//! A target that says in a response that it is leaving stays so for the rest of its incarnation,
+//! whatever its entry says: the entry may be late, or come from a copy of the store.
 
 use {
     super::fact::Target,
@@ -20,23 +23,48 @@
 /// How long a vouch by a target's node is valid. The node is asked again before it expires.
 const VOUCH_TTL: Duration = Duration::from_millis(2_000);
 
+/// How long an announcement is kept after it was made by a target that has no entry any more. An
+/// entry that is older than the announcement may come back within this time.
+const ANNOUNCEMENT_RETENTION: Duration = Duration::from_secs(120);
+
 #[derive(Clone, Debug)]
 struct Entry {
     target: Target,
+    /// Since when this node has known that the target is leaving.
+    leaving_since: Option<Instant>,
     /// Set if the published entry was removed: how long the target is kept.
     kept_until: Option<Instant>,
 }
 
+/// The announcement of an incarnation of a target that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_at_ms: u64,
+    announced_at: Instant,
+}
+
 /// The known targets of the deployment by name.
 #[derive(Debug, Default)]
 pub struct Fleet {
     entries: BTreeMap<id::Vm, Entry>,
+    departures: BTreeMap<id::Vm, Departure>,
     last_outage: Option<Instant>,
 }
 
 impl Fleet {
-    /// Adds or replaces the entry of a target.
-    pub fn put(&mut self, target: Target) {
+    /// Adds or replaces the entry of a target. It stays leaving if this incarnation announced that.
+    pub fn put(&mut self, now: Instant, mut target: Target) {
+        let departure = self.departures.get(&target.name).copied();
+        let departure = departure.filter(|known| known.started_at_ms >= target.started_at_ms);
+        if departure.is_none() {
+            self.departures.remove(&target.name);
+        }
+        target.is_leaving |= departure.is_some();
+        let same = self.entries.get(&target.name);
+        let same = same.filter(|entry| entry.target.started_at_ms == target.started_at_ms);
+        let known_since = same.and_then(|entry| entry.leaving_since);
+        let known_since = known_since.or(departure.map(|known| known.announced_at));
+        let leaving_since = target.is_leaving.then(|| known_since.unwrap_or(now));
         // An address belongs to one instance at a time. The entry of an earlier instance may still
         // be published for a while.
         self.entries.retain(|name, entry| {
@@ -44,7 +72,24 @@
                 || entry.target.address != target.address
                 || entry.target.started_at_ms > target.started_at_ms
         });
-        self.entries.insert(target.name.clone(), Entry { target, kept_until: None });
+        let entry = Entry { target, leaving_since, kept_until: None };
+        self.entries.insert(entry.target.name.clone(), entry);
+    }
+
+    /// Records that a target said in a response that it is leaving. Returns whether it was not known
+    /// to be leaving.
+    pub fn record_departure(&mut self, now: Instant, name: &id::Vm) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else { return false };
+        let started_at_ms = entry.target.started_at_ms;
+        let departure = Departure { started_at_ms, announced_at: now };
+        self.departures.entry(name.clone()).or_insert(departure);
+        entry.leaving_since.get_or_insert(now);
+        !std::mem::replace(&mut entry.target.is_leaving, true)
+    }
+
+    /// Returns since when this node has known that a target is leaving.
+    pub fn leaving_since(&self, name: &id::Vm) -> Option<Instant> {
+        self.entries.get(name).and_then(|entry| entry.leaving_since)
     }
 
     /// Records that the entry of a target was removed. The target is kept for a grace period, in
@@ -89,6 +134,10 @@
         self.entries.retain(|_, entry| {
             entry.kept_until.is_none_or(|until| now < until.max(outage_end.unwrap_or(until)))
         });
+        let entries = &self.entries;
+        self.departures.retain(|name, departure| {
+            entries.contains_key(name) || now - departure.announced_at < ANNOUNCEMENT_RETENTION
+        });
         before != self.entries.len()
     }
 
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -17,6 +17,7 @@
 
 use {
     super::{
+        announcement::Announcement,
         fact::{Fact, FactStore, Key, Target, Update, Value},
         fleet::Fleet,
         gate::Gate,
@@ -60,6 +61,10 @@
 /// have it. A caller may send the request again within a second.
 const CRASH_REPORT_FANOUT: usize = 16;
 
+/// The node of a leaving target refuses requests once this fraction of the time to drain has passed
+/// since it learned of the departure. It may have learned late itself.
+const DRAIN_SHARE: u32 = 4;
+
 /// The settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -75,6 +80,8 @@
     pub target: SocketAddr,
     /// The longest allowed time from the withdrawal of a key to its effect.
     pub withdrawal: Duration,
+    /// The longest allowed time from a target's notice that it is leaving to its last request.
+    pub drain: Duration,
     /// The number of resends allowed per thousand first sends.
     pub resend_permille: u32,
     /// The window over which resends are counted.
@@ -379,6 +386,29 @@
         }
     }
 
+    /// Records what a target said about itself in a response. Returns whether it is leaving and was
+    /// not known to be.
+    pub fn record_announcement(
+        &mut self,
+        now: Instant,
+        target: &id::Vm,
+        announcement: &Announcement,
+    ) -> bool {
+        let is_news = announcement.is_leaving && self.fleet.record_departure(now, target);
+        if is_news {
+            self.refresh(now);
+        }
+        is_news
+    }
+
+    /// Returns whether the local target, being the given instance, takes no more requests, since it
+    /// has been leaving for so long that other nodes should know. It guards against requests of those
+    /// that do not.
+    pub fn is_closed(&self, now: Instant, target: &id::Vm) -> bool {
+        let since = self.fleet.leaving_since(target);
+        since.is_some_and(|since| now - since >= self.settings.drain / DRAIN_SHARE)
+    }
+
     /// Records the reported load of a target.
     pub fn record_load(&mut self, now: Instant, target: &id::Vm, report: &pressure::Report) {
         let Some(pool) = self.fleet.get(target).map(|target| target.pool.clone()) else { return };
@@ -431,7 +461,7 @@
             }
             (Key::Target(_), Value::Target(target)) => {
                 changes.has_target_changes = true;
-                self.fleet.put(target.clone());
+                self.fleet.put(now, target.clone());
             }
             (Key::Target(name), Value::Removed) => {
                 changes.has_target_changes = true;
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -78,8 +78,8 @@
 #[test]
 fn reused_address() {
     let mut fleet = Fleet::default();
-    fleet.put(target("t1", "10.0.0.1:80", 10));
-    fleet.put(target("t2", "10.0.0.1:80", 20));
+    fleet.put(at(0), target("t1", "10.0.0.1:80", 10));
+    fleet.put(at(0), target("t2", "10.0.0.1:80", 20));
     assert_eq!(fleet.iter().count(), 1);
     let current = fleet.by_address("10.0.0.1:80".parse().expect("an address")).expect("a target");
     assert_eq!(current.name.as_str(), "t2");
@@ -89,11 +89,11 @@
 fn removal_during_outage() {
     let mut fleet = Fleet::default();
     let entry = target("t1", "10.0.0.1:80", 10);
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     fleet.record_outage(at(10_000));
     fleet.remove(at(11_000), &entry.name);
     assert!(fleet.get(&entry.name).is_some(), "it may still be alive");
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     fleet.tick(at(20_000));
     assert!(fleet.get(&entry.name).is_some(), "its entry was published again");
     fleet.record_outage(at(30_000));
@@ -106,7 +106,7 @@
 fn removal_without_outage() {
     let mut fleet = Fleet::default();
     let entry = target("t1", "10.0.0.1:80", 10);
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     fleet.remove(at(1), &entry.name);
     assert!(fleet.get(&entry.name).is_some(), "it is kept until its node is asked");
     assert_eq!(fleet.missing().count(), 1);
@@ -119,7 +119,7 @@
 fn unreachable_node_of_removed_target() {
     let mut fleet = Fleet::default();
     let entry = target("t1", "10.0.0.1:80", 10);
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     fleet.remove(at(1), &entry.name);
     fleet.tick(at(1_000));
     assert!(
@@ -132,14 +132,14 @@
 fn vouched_target() {
     let mut fleet = Fleet::default();
     let entry = target("t1", "10.0.0.1:80", 10);
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     fleet.remove(at(1), &entry.name);
     for second in 0..10 {
         fleet.record_vouch(at(10 + second * 1_000), &entry.name, true);
         fleet.tick(at(500 + second * 1_000));
         assert!(fleet.get(&entry.name).is_some(), "second {second}");
     }
-    fleet.put(entry.clone());
+    fleet.put(at(0), entry.clone());
     assert_eq!(fleet.missing().count(), 0, "its entry was published again");
     fleet.remove(at(20_000), &entry.name);
     fleet.record_vouch(at(20_010), &entry.name, true);
@@ -220,9 +220,49 @@
 #[test]
 fn stale_instance() {
     let mut fleet = Fleet::default();
-    fleet.put(target("new", "10.0.0.1:80", 20));
-    fleet.put(target("old", "10.0.0.1:80", 10));
+    fleet.put(at(0), target("new", "10.0.0.1:80", 20));
+    fleet.put(at(0), target("old", "10.0.0.1:80", 10));
     let address = "10.0.0.1:80".parse().expect("an address");
     assert_eq!(fleet.by_address(address).map(|target| target.name.as_str()), Some("new"));
     let _: id::Vm = "new".parse().expect("a name");
 }
+
+#[test]
+fn departure_said_in_response() {
+    let mut fleet = Fleet::default();
+    let entry = target("t1", "10.0.0.1:80", 10);
+    let name = &entry.name;
+    fleet.put(at(0), entry.clone());
+    assert!(fleet.record_departure(at(1_000), name));
+    assert!(!fleet.record_departure(at(2_000), name), "it is known already");
+    fleet.put(at(3_000), entry.clone());
+    assert!(fleet.get(name).expect("a target").is_leaving, "its entry is older than the response");
+    assert_eq!(fleet.leaving_since(name), Some(at(1_000)));
+}
+
+#[test]
+fn entry_lost_after_departure() {
+    let mut fleet = Fleet::default();
+    let entry = target("t1", "10.0.0.1:80", 10);
+    let name = &entry.name;
+    fleet.put(at(0), entry.clone());
+    fleet.record_departure(at(1_000), name);
+    fleet.remove(at(2_000), name);
+    assert!(fleet.tick(at(4_000)));
+    // A copy of the store may bring the entry back.
+    fleet.put(at(5_000), entry.clone());
+    assert!(fleet.get(name).expect("a target").is_leaving);
+    assert_eq!(fleet.leaving_since(name), Some(at(1_000)));
+}
+
+#[test]
+fn restarted_after_departure() {
+    let mut fleet = Fleet::default();
+    let entry = target("t1", "10.0.0.1:80", 10);
+    let name = &entry.name;
+    fleet.put(at(0), entry.clone());
+    fleet.record_departure(at(1_000), name);
+    fleet.put(at(9_000), Target { started_at_ms: 9_000, ..entry.clone() });
+    assert!(!fleet.get(name).expect("a target").is_leaving, "this is another incarnation");
+    assert_eq!(fleet.leaving_since(name), None);
+}
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -85,6 +85,7 @@
         pool: "front".parse().expect("a name"),
         target: (host(1), 80).into(),
         withdrawal: Duration::from_secs(5),
+        drain: Duration::from_secs(2),
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
     };
--- a/lib/tests/store_eras.rs
+++ b/lib/tests/store_eras.rs
@@ -148,6 +148,7 @@
         pool: "front".parse().expect("a name"),
         target: (host, 80).into(),
         withdrawal: WITHDRAWAL,
+        drain: Duration::from_secs(2),
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
     };
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -353,7 +353,7 @@
          outbound = \"{address}:{OUTBOUND}\"\nready = \"{address}:{READY}\"\n\
          [network.zones]\nza = \"r\"\nzb = \"r\"\n[platform.platform]\n\
          address = \"{store}\"\n[terms.bounds]\ngrace_s = 6\nrevoke_ms = 5000\n\
-         retry_budget_ratio = 0.2\nbudget_window_s = 10\n"
+         drain_ms = 2000\n         retry_budget_ratio = 0.2\nbudget_window_s = 10\n"
     )
 }
 
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -76,6 +76,8 @@
     behaviour: Behaviour,
     is_healthy: bool,
     service_time: Duration,
+    /// Header lines that are added to all answers, each with its line break.
+    added_fields: String,
     runs: Vec<Run>,
 }
 
@@ -113,6 +115,7 @@
             behaviour: Behaviour::Normal,
             is_healthy: true,
             service_time: Duration::from_millis(5),
+            added_fields: String::new(),
             runs: Vec::new(),
         };
         let shared = Arc::new(Shared {
@@ -149,6 +152,12 @@
         state.service_time = service_time;
     }
 
+    /// Sets the header fields that are added to all answers from now on.
+    pub fn set_added_fields(&self, fields: &[(&str, &str)]) {
+        let lines = fields.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+        self.state().added_fields = lines.collect();
+    }
+
     /// Sets whether health checks succeed. A draining server fails them.
     pub fn set_healthy(&self, is_healthy: bool) {
         self.state().is_healthy = is_healthy;
@@ -234,7 +243,9 @@
         let is_healthy = shared.state.lock().expect("the server's state").is_healthy;
         let status = if is_healthy { "200 OK" } else { "503 Leaving" };
         let id = &shared.id;
-        let head = format!("HTTP/1.1 {status}\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+        let added = added_fields(shared);
+        let head =
+            format!("HTTP/1.1 {status}\r\n{added}X-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         return stream.write_all(head.as_bytes()).await.ok();
     }
     let id = run.field("x-request-id").unwrap_or_default().to_owned();
@@ -251,7 +262,8 @@
     if behaviour == Behaviour::Sheds {
         record(shared, run);
         let head = format!(
-            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Full\r\n{}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            added_fields(shared)
         );
         return stream.write_all(head.as_bytes()).await.ok();
     }
@@ -280,6 +292,10 @@
     answer(shared, stream, behaviour, &id).await
 }
 
+fn added_fields(shared: &Shared) -> String {
+    shared.state.lock().expect("the server's state").added_fields.clone()
+}
+
 fn record(shared: &Shared, run: Run) -> usize {
     let mut state = shared.state.lock().expect("the server's state");
     state.runs.push(run);
@@ -293,10 +309,11 @@
     id: &str,
 ) -> Option<()> {
     let body = format!("made by {}", shared.id);
+    let added = added_fields(shared);
     let response = |status: &str, id: &str| {
         format!(
             "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Response-Signature: s.{}\r\n\
-             X-Server-Load: 1,0,{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Server-Load: 1,0,{}\r\n{added}Keep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
             shared.id,
             shared.slots,
             body.len()
