--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -7,7 +7,9 @@
     },
     crate::clock,
     monsoon_lib::call::Refusal,
-    prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
+    prometheus::{
+        Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    },
     std::time::Duration,
 };
 
@@ -20,6 +22,7 @@
     registry: Registry,
     answered: Histogram,
     refused: IntCounterVec,
+    sent_to_target: IntCounter,
     in_flight: IntGauge,
     waiting: IntGauge,
     peers: IntGauge,
@@ -44,6 +47,9 @@
         let refused = Opts::new("monsoon_refused_total", "Requests without a target's answer.");
         let refused = IntCounterVec::new(refused, &["reason", "outcome"])?;
         registry.register(Box::new(refused.clone()))?;
+        let sent_to_target =
+            IntCounter::new("monsoon_sent_total", "Requests sent to the own target.")?;
+        registry.register(Box::new(sent_to_target.clone()))?;
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -68,6 +74,7 @@
             registry,
             answered,
             refused,
+            sent_to_target,
             in_flight,
             waiting,
             peers,
@@ -84,6 +91,11 @@
         self.answered.observe(latency.as_secs_f64());
     }
 
+    /// Counts a request that is sent to the node's own target.
+    pub fn sent_to_target(&self) {
+        self.sent_to_target.inc();
+    }
+
     /// Counts a refusal by its reason and outcome.
     pub fn refused(&self, refusal: &Refusal) {
         let labels = [refusal.reason.as_str(), refusal.outcome.as_str()];
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -121,6 +121,7 @@
         slot.started = clock::now();
         let remaining = forwarded.remaining.saturating_sub(slot.started - now);
         let forwarded = ForwardedRequest { remaining, ..forwarded.clone() };
+        self.metrics.sent_to_target();
         let exchange = self
             .target
             .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
