gate: keep the limit on requests per second that a target names

Ruled out: a limit that is known but not summed over nodes (the rate did not change at any node when it was named), and refused requests that count (the target turned none away).

The limit is part of a target's announcement. The node beside the target sees all of its requests, so it starts them by a token bucket of that rate, in the order of its queue, and reports the shrunken capacity with its load; other nodes then prefer other targets. The limit holds until a response names none. A node that has just started, or whose target was replaced, runs at most 8 calls until the first response, since the target may have named a limit that other nodes have passed on.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -61,6 +61,8 @@
     /// Whether the facts were behind the store when this was last logged.
     is_behind: Cell<bool>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
+    /// Whether a task starts queued calls at the rate that the target takes.
+    is_pacing: Cell<bool>,
     last_call_number: Cell<u64>,
     open_requests: Cell<usize>,
     /// Whether requests from peers are refused, since the node has announced that it is leaving.
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -8,7 +8,8 @@
     crate::clock,
     monsoon_lib::call::Refusal,
     prometheus::{
-        Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+        Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
     },
     std::time::Duration,
 };
@@ -29,6 +30,7 @@
     tables: IntGauge,
     facts_revision: IntGauge,
     store_revision: IntGauge,
+    target_limit: Gauge,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
 }
@@ -65,6 +67,9 @@
         )?;
         let store_revision =
             gauge("monsoon_store_revision", "Latest revision that a read found the store at.")?;
+        let target_limit =
+            Gauge::new("monsoon_target_limit", "Requests per second that the own target takes.")?;
+        registry.register(Box::new(target_limit.clone()))?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -81,6 +86,7 @@
             tables,
             facts_revision,
             store_revision,
+            target_limit,
             confirmed_age,
             held_bytes,
         })
@@ -114,6 +120,7 @@
         metrics.tables.set(dump.table.map_or(0, |revision| revision.0 as i64));
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
+        metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         let mut text = String::new();
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -21,6 +21,7 @@
             node::ForwardedRequest,
         },
         time::Instant,
+        unit::RequestRate,
     },
     std::{rc::Rc, time::Duration},
     tokio::sync::oneshot,
@@ -159,9 +160,17 @@
     pub fn record_announcement(&self, target: &id::Vm, fields: &[Field]) {
         let announcement = self.header_adapter.announcement(fields);
         let now = clock::now();
-        if self.node.borrow_mut().record_announcement(now, target, &announcement) {
+        let changes = self.node.borrow_mut().record_announcement(now, target, &announcement);
+        if changes.is_leaving {
             log::info!(target = target.as_str(); "target says that it is leaving");
         }
+        if changes.is_limit_changed {
+            let limit = self.node.borrow_mut().gate().limit().map(RequestRate::per_second);
+            log::info!(
+                target = target.as_str(), limit_per_s = limit;
+                "target began or ceased to limit its requests per second"
+            );
+        }
     }
 
     /// Checks whether a connection broke because the target crashed. A crashed target accepts no
@@ -198,21 +207,26 @@
     }
 
     /// Waits in the gate's queue until the call is admitted or refused.
-    async fn wait_for_slot(&self, call: id::Call, timeout: Duration) -> Result<(), RunResult> {
+    async fn wait_for_slot(
+        self: &Rc<Self>,
+        call: id::Call,
+        timeout: Duration,
+    ) -> Result<(), RunResult> {
         let (sender, release) = oneshot::channel();
         self.queued_calls.borrow_mut().insert(call, sender);
+        self.start_pacing();
         match tokio::time::timeout(timeout, release).await {
             Ok(Ok(Release::Run(_))) => Ok(()),
             Ok(Ok(Release::Refuse(_, wait))) => Err(overload_refusal(wait)),
             Ok(Err(_)) | Err(_) => {
-                let wait = self.node.borrow_mut().gate().retry_after();
+                let wait = self.node.borrow_mut().gate().retry_after(clock::now());
                 Err(overload_refusal(wait))
             }
         }
     }
 
     /// Notifies queued calls that they were admitted or refused.
-    fn deliver_releases(&self, releases: Vec<Release>) {
+    fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
         for release in releases {
             let (Release::Run(call) | Release::Refuse(call, _)) = release;
             let waiter = self.queued_calls.borrow_mut().remove(&call);
@@ -223,6 +237,24 @@
                 self.deliver_releases(releases);
             }
         }
+        self.start_pacing();
+    }
+
+    /// Starts queued calls as the limit that the target named permits, until none waits for it.
+    fn start_pacing(self: &Rc<Self>) {
+        let next_start = |mesh: &Self| mesh.node.borrow_mut().gate().next_start(clock::now());
+        if next_start(self).is_none() || self.is_pacing.replace(true) {
+            return;
+        }
+        let mesh = self.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(at) = next_start(&mesh) {
+                tokio::time::sleep(at - clock::now()).await;
+                let releases = mesh.node.borrow_mut().gate().tick(clock::now());
+                mesh.deliver_releases(releases);
+            }
+            mesh.is_pacing.set(false);
+        });
     }
 
     fn log_result(&self, forwarded: &ForwardedRequest, result: &RunResult) {
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -200,7 +200,7 @@
     link.runs.borrow_mut().remove(&number);
     let response = {
         let mut node = link.mesh.node.borrow_mut();
-        let load = Some(node.gate().report());
+        let load = Some(node.gate().report(clock::now()));
         PeerResponse::RunFinished {
             result,
             load,
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -108,6 +108,7 @@
         last_readiness: Cell::new(Ok(())),
         is_behind: Cell::default(),
         queued_calls: RefCell::default(),
+        is_pacing: Cell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
         is_closed_to_peers: Cell::default(),
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -17,3 +17,4 @@
 pub mod read_schedule;
 pub mod resend;
 pub mod table;
+pub mod throttle;
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -4,9 +4,13 @@
 //! answer. Further calls wait in a short queue ordered by rank, and are refused at once if the
 //! expected wait would use up their latency objective. The limit is not adaptive: a slow target
 //! raises the mean latency, and with it the expected wait.
+//!
+//! A target may name a limit on its requests per second. All its requests pass this gate, so the
+//! limit is kept here, whichever nodes the requests come from.
 
 use {
-    crate::{id, pressure, time::Instant},
+    super::{announcement::Limit, throttle::Throttle},
+    crate::{id, pressure, time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -24,6 +28,9 @@
 const MAX_WAIT_FRACTION: f64 = 0.6;
 /// The largest queue length per slot of the target.
 const MAX_QUEUED_PER_SLOT: usize = 4;
+/// The number of concurrent calls until the target has responded for the first time. It may have
+/// named a low limit to an earlier process of this node.
+const MAX_CALLS_BEFORE_RESPONSE: usize = 8;
 /// The shortest retry delay given to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The longest retry delay given to a refused caller.
@@ -93,6 +100,8 @@
     queue: BTreeMap<QueueKey, Instant>,
     queue_keys: HashMap<id::Call, QueueKey>,
     mean_latency_s: f64,
+    throttle: Option<Throttle>,
+    has_response: bool,
 }
 
 impl Gate {
@@ -104,6 +113,8 @@
             queue: BTreeMap::new(),
             queue_keys: HashMap::new(),
             mean_latency_s: INITIAL_MEAN_LATENCY_S,
+            throttle: None,
+            has_response: false,
         }
     }
 
@@ -112,19 +123,44 @@
         self.slots = slots as usize;
     }
 
+    /// Forgets what the target said, since another instance has taken its place.
+    pub fn forget_target(&mut self) {
+        self.throttle = None;
+        self.has_response = false;
+    }
+
+    /// Records the limit that the target named in a response. Returns whether it began or ceased to
+    /// name one.
+    pub fn record_limit(&mut self, now: Instant, limit: Limit) -> bool {
+        self.has_response = true;
+        let was_limited = self.throttle.is_some();
+        match (limit, &mut self.throttle) {
+            (Limit::None, _) => self.throttle = None,
+            (Limit::Rate(rate), Some(throttle)) => throttle.set_limit(now, rate),
+            (Limit::Rate(rate), None) => self.throttle = Some(Throttle::new(now, rate)),
+            (Limit::Malformed, _) => {}
+        }
+        self.throttle.is_some() != was_limited
+    }
+
+    /// Returns the limit on requests per second that the target names.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.throttle.map(|throttle| throttle.limit())
+    }
+
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
-        if self.queue.is_empty() && self.running.len() < self.slots {
+        if self.queue.is_empty() && self.try_start(now) {
             self.running.insert(call);
             return Decision::Run;
         }
         let due_at = now + request.objective;
         let key = QueueKey { rank: request.rank, due_at, call };
-        let wait = self.expected_wait(self.queue.range(..key).count());
+        let wait = self.expected_wait(now, self.queue.range(..key).count());
         let max_wait =
             request.objective.mul_f64(MAX_EXPECTED_WAIT_FRACTION).min(request.deadline - now);
         if wait > max_wait || self.queue.len() >= self.slots * MAX_QUEUED_PER_SLOT {
-            return Decision::Refused(self.retry_after());
+            return Decision::Refused(self.retry_after(now));
         }
         let refuse_at = (now + request.objective.mul_f64(MAX_WAIT_FRACTION)).min(request.deadline);
         self.queue.insert(key, refuse_at);
@@ -155,6 +191,13 @@
         key.is_some_and(|key| self.queue.remove(&key).is_some())
     }
 
+    /// Returns when the limit that the target named lets the next queued call start. `None` if no
+    /// call waits for that; the end of a running call may still start one.
+    pub fn next_start(&self, now: Instant) -> Option<Instant> {
+        let throttle = self.throttle.filter(|_| !self.queue.is_empty() && self.has_free_slot())?;
+        Some(now + throttle.wait(now, 0))
+    }
+
     /// Refuses calls that waited too long, and starts queued calls while there are free slots.
     pub fn tick(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = Vec::new();
@@ -166,11 +209,13 @@
             .collect();
         for key in expired {
             self.dequeue(&key);
-            releases.push(Release::Refuse(key.call, self.retry_after()));
+            releases.push(Release::Refuse(key.call, self.retry_after(now)));
         }
-        while self.running.len() < self.slots {
-            let Some((key, _)) = self.queue.first_key_value() else { break };
+        while let Some((key, _)) = self.queue.first_key_value() {
             let key = *key;
+            if !self.try_start(now) {
+                break;
+            }
             self.dequeue(&key);
             self.running.insert(key.call);
             releases.push(Release::Run(key.call));
@@ -188,18 +233,19 @@
         self.queue.len()
     }
 
-    /// Returns the load report for other nodes.
-    pub fn report(&self) -> pressure::Report {
-        let queue_delay = match self.running.len() < self.slots {
-            true => Duration::ZERO,
-            false => self.expected_wait(self.queue.len()),
-        };
+    /// Returns the load report for other nodes. A limit on requests per second is reported as the
+    /// number of concurrent calls that it amounts to.
+    pub fn report(&self, now: Instant) -> pressure::Report {
+        let by_rate = self.throttle.map_or(usize::MAX, |throttle| {
+            (throttle.limit().per_second() * self.mean_latency_s).ceil() as usize
+        });
+        let queue_delay = self.expected_wait(now, self.queue.len());
         pressure::Report {
             in_flight: (self.running.len() + self.queue.len()) as u32,
-            limit: self.slots as u32,
+            limit: self.slots.min(by_rate).max(1) as u32,
             queue_delay,
             latency: Duration::from_secs_f64(self.mean_latency_s),
-            retry_after: self.retry_after(),
+            retry_after: self.retry_after(now),
             slices: Vec::new(),
         }
     }
@@ -209,15 +255,36 @@
         self.queue_keys.remove(&key.call);
     }
 
+    fn has_free_slot(&self) -> bool {
+        let slots = match self.has_response {
+            true => self.slots,
+            false => self.slots.min(MAX_CALLS_BEFORE_RESPONSE),
+        };
+        self.running.len() < slots
+    }
+
+    /// Returns whether a call may start now, and counts it against the target's limit if so.
+    fn try_start(&mut self, now: Instant) -> bool {
+        let has_free_slot = self.has_free_slot();
+        has_free_slot && self.throttle.as_mut().is_none_or(|throttle| throttle.try_start(now))
+    }
+
     /// Returns the expected wait of a call behind `ahead` queued calls.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        let slots = self.slots.max(1) as f64;
-        Duration::from_secs_f64((ahead + 1) as f64 * self.mean_latency_s / slots)
+    fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
+        let for_slot = match self.has_free_slot() {
+            true => Duration::ZERO,
+            false => {
+                let slots = self.slots.max(1) as f64;
+                Duration::from_secs_f64((ahead + 1) as f64 * self.mean_latency_s / slots)
+            }
+        };
+        let for_rate = self.throttle.map(|throttle| throttle.wait(now, ahead));
+        for_slot.max(for_rate.unwrap_or_default())
     }
 
     /// Returns the retry delay for refused callers: twice the expected time to drain the queue.
     /// By then there is room again, unless new calls have arrived.
-    pub fn retry_after(&self) -> Duration {
-        (self.expected_wait(self.queue.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    pub fn retry_after(&self, now: Instant) -> Duration {
+        (self.expected_wait(now, self.queue.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -34,7 +34,7 @@
         crash::{self, CrashTracker},
         id, pressure,
         time::Instant,
-        unit::Revision,
+        unit::{RequestRate, Revision},
     },
     call::LongestTimeouts,
     peers::Peers,
@@ -114,6 +114,15 @@
     pub has_target_changes: bool,
 }
 
+/// The changes caused by a target's announcement.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AnnouncementChanges {
+    /// Whether the target is leaving and was not known to be.
+    pub is_leaving: bool,
+    /// Whether the local target began or ceased to name a limit on its requests per second.
+    pub is_limit_changed: bool,
+}
+
 /// The state of one node.
 #[derive(Debug)]
 pub struct Node {
@@ -132,6 +141,8 @@
     pool_selectors: HashMap<id::Route, WeightedRoundRobin>,
     longest_timeouts: LongestTimeouts,
     gate: Gate,
+    /// The name and start of the local target that the gate is for.
+    own_instance: Option<(id::Vm, u64)>,
     rate_limiter: RateLimiter,
     coordinator: Coordinator,
     random: ChaCha8Rng,
@@ -160,6 +171,7 @@
             pool_selectors: HashMap::new(),
             longest_timeouts: LongestTimeouts::default(),
             gate: Gate::new(0),
+            own_instance: None,
             rate_limiter: RateLimiter::default(),
             coordinator: Coordinator::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -386,19 +398,21 @@
         }
     }
 
-    /// Records what a target said about itself in a response. Returns whether it is leaving and was
-    /// not known to be.
+    /// Records what a target said about itself in a response.
     pub fn record_announcement(
         &mut self,
         now: Instant,
         target: &id::Vm,
         announcement: &Announcement,
-    ) -> bool {
-        let is_news = announcement.is_leaving && self.fleet.record_departure(now, target);
-        if is_news {
+    ) -> AnnouncementChanges {
+        let is_leaving = announcement.is_leaving && self.fleet.record_departure(now, target);
+        if is_leaving {
             self.refresh(now);
         }
-        is_news
+        // The limits of other targets are kept by their own nodes.
+        let is_own = self.own_target().as_ref() == Some(target);
+        let is_limit_changed = is_own && self.gate.record_limit(now, announcement.limit);
+        AnnouncementChanges { is_leaving, is_limit_changed }
     }
 
     /// Returns whether the local target, being the given instance, takes no more requests, since it
@@ -429,6 +443,7 @@
             peers: self.peers.len(),
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
+            target_limit: self.gate.limit().map(RequestRate::per_second),
             pools: self
                 .pickers
                 .iter()
@@ -475,9 +490,12 @@
     fn refresh(&mut self, now: Instant) {
         self.peers.set_targets(self.fleet.iter());
         self.rate_limiter.set_node_count(now, self.peers.len() + 1);
-        let slots = self.fleet.by_address(self.settings.target).map(|target| target.slots);
-        if let Some(slots) = slots {
-            self.gate.resize(slots);
+        if let Some(target) = self.fleet.by_address(self.settings.target) {
+            self.gate.resize(target.slots);
+            let instance = (target.name.clone(), target.started_at_ms);
+            if self.own_instance.replace(instance.clone()).is_some_and(|last| last != instance) {
+                self.gate.forget_target();
+            }
         }
         let mut listed: BTreeMap<id::Pool, Vec<balance::TargetInfo>> = BTreeMap::new();
         for target in self.fleet.iter() {
@@ -535,6 +553,8 @@
     pub in_flight: usize,
     /// The number of calls queued for the local target.
     pub waiting: usize,
+    /// The limit on requests per second that the local target names.
+    pub target_limit: Option<f64>,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
 }
--- a/lib/src/unit.rs
+++ b/lib/src/unit.rs
@@ -89,6 +89,37 @@
     }
 }
 
+/// Requests per second, with fractions. It is finite and not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// The largest rate that is accepted. It keeps derived times within range.
+    const MAX: f64 = 1e9;
+
+    /// Returns the number of requests per second.
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let rate = text.strip_suffix("/s").unwrap_or(text).parse().ok();
+        let rate = rate.filter(|rate| (0.0..=Self::MAX).contains(rate));
+        let malformed = || Error::Malformed { expected: "\"44.9/s\"", found: text.into() };
+        rate.map(Self).ok_or_else(malformed)
+    }
+}
+
 /// A number of bytes.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- a/lib/tests/closed_target.rs
+++ b/lib/tests/closed_target.rs
@@ -3,7 +3,7 @@
 use {
     monsoon_lib::{
         mesh::{
-            announcement::Announcement,
+            announcement::{Announcement, Limit},
             fact::{Fact, Heartbeat, Key, Target, Value},
             node::{Node, Settings},
             position::{Era, Position},
@@ -17,6 +17,8 @@
 /// The longest allowed time from a target's notice to its last request.
 const DRAIN: Duration = Duration::from_secs(2);
 
+const LEAVING: Announcement = Announcement { is_leaving: true, limit: Limit::None };
+
 fn at(ms: u64) -> Instant {
     Instant::from_millis(10_000 + ms)
 }
@@ -77,8 +79,8 @@
 fn said_in_response() {
     let mut node = node();
     let name = target(true, 1).name;
-    assert!(node.record_announcement(at(100), &name, &Announcement { is_leaving: true }));
-    assert!(!node.record_announcement(at(200), &name, &Announcement { is_leaving: false }));
+    assert!(node.record_announcement(at(100), &name, &LEAVING).is_leaving);
+    assert!(!node.record_announcement(at(200), &name, &Announcement::default()).is_leaving);
     apply(&mut node, at(300), target(false, 1), 2);
     assert!(node.is_closed(at(100) + DRAIN / 2, &name));
 }
@@ -87,7 +89,7 @@
 fn started_again() {
     let mut node = node();
     let name = target(true, 1).name;
-    node.record_announcement(at(100), &name, &Announcement { is_leaving: true });
+    node.record_announcement(at(100), &name, &LEAVING);
     apply(&mut node, at(5_000), target(false, 2), 2);
     assert!(!node.is_closed(at(60_000), &name));
 }
--- a/lib/tests/mesh_gate.rs
+++ b/lib/tests/mesh_gate.rs
@@ -3,7 +3,10 @@
 use {
     monsoon_lib::{
         id,
-        mesh::gate::{AdmissionRequest, Decision, Gate, Rank, Release},
+        mesh::{
+            announcement::Limit,
+            gate::{AdmissionRequest, Decision, Gate, Rank, Release},
+        },
         time::Instant,
     },
     proptest::prelude::*,
@@ -115,6 +118,103 @@
     assert_eq!(gate.in_flight(), 0);
 }
 
+fn limit(text: &str) -> Limit {
+    Limit::Rate(text.parse().expect("a rate"))
+}
+
+/// Offers a call of the given rank each 10 ms for a time and ends each run after 30 ms. Returns the
+/// times at which calls started, and their numbers.
+fn play(gate: &mut Gate, seconds: u64, rank_of: impl Fn(u64) -> u32) -> Vec<(Instant, u64)> {
+    let mut starts: Vec<(Instant, u64)> = Vec::new();
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    for ms in 0..seconds * 1_000 {
+        let now = at(ms);
+        let mut started_now = started(&gate.tick(now));
+        if ms.is_multiple_of(10) {
+            let decision = gate.offer(now, id::Call(ms), &request(now, 1, rank_of(ms), true));
+            started_now.extend((decision == Decision::Run).then_some(ms));
+        }
+        while let Some(i) = running.iter().position(|(end, _)| *end <= now) {
+            let (_, call) = running.remove(i);
+            let released = gate.finish(now, id::Call(call), Some(Duration::from_millis(30)));
+            started_now.extend(started(&released));
+        }
+        running.extend(started_now.iter().map(|call| (now + Duration::from_millis(30), *call)));
+        starts.extend(started_now.iter().map(|call| (now, *call)));
+    }
+    starts
+}
+
+#[test]
+fn starts_within_limit() {
+    let mut gate = Gate::new(50);
+    gate.record_limit(at(0), limit("20.5"));
+    let starts = play(&mut gate, 10, |_| 1);
+    assert!((200..=211).contains(&starts.len()), "{} starts in 10 s", starts.len());
+}
+
+/// What the limit does not admit is refused by rank.
+#[test]
+fn limit_by_rank() {
+    let mut gate = Gate::new(50);
+    gate.record_limit(at(0), limit("25"));
+    // A fifth of 100 calls per second is of the higher rank.
+    let rank_of = |call: u64| if call.is_multiple_of(50) { 0 } else { 2 };
+    let starts = play(&mut gate, 10, rank_of);
+    let urgent = starts.iter().filter(|(_, call)| rank_of(*call) == 0).count();
+    assert!(urgent >= 195, "{urgent} of 200 urgent calls started");
+}
+
+#[test]
+fn limit_lifted() {
+    let mut gate = Gate::new(50);
+    assert!(gate.record_limit(at(0), limit("1")));
+    assert!(!gate.record_limit(at(0), limit("1.5")));
+    assert_eq!(gate.offer(at(0), id::Call(1), &request(at(0), 1, 1, true)), Decision::Run);
+    assert!(matches!(
+        gate.offer(at(0), id::Call(2), &request(at(0), 1, 1, true)),
+        Decision::Refused(_) | Decision::Queued(_)
+    ));
+    assert!(!gate.record_limit(at(1), Limit::Malformed), "what was known holds");
+    assert!(gate.limit().is_some());
+    assert!(gate.record_limit(at(1), Limit::None));
+    gate.tick(at(1));
+    assert_eq!(gate.offer(at(1), id::Call(3), &request(at(1), 1, 1, true)), Decision::Run);
+    assert_eq!(gate.next_start(at(1)), None);
+}
+
+/// Calls start at the times that the gate announces, without the end of another call.
+#[test]
+fn queued_for_limit() {
+    let mut gate = Gate::new(50);
+    gate.record_limit(at(0), limit("10"));
+    assert_eq!(gate.offer(at(0), id::Call(1), &request(at(0), 1, 1, true)), Decision::Run);
+    assert!(matches!(
+        gate.offer(at(0), id::Call(2), &request(at(0), 1, 1, true)),
+        Decision::Queued(_)
+    ));
+    let next = gate.next_start(at(0)).expect("a call waits");
+    assert!(started(&gate.tick(next - Duration::from_millis(5))).is_empty());
+    assert_eq!(started(&gate.tick(next)), [2]);
+}
+
+/// A target that may have named a limit to an earlier process gets few calls until it responds.
+#[test]
+fn before_first_response() {
+    let mut gate = Gate::new(100);
+    let run = |gate: &mut Gate, calls: std::ops::Range<u64>| {
+        let decisions =
+            calls.map(|call| gate.offer(at(0), id::Call(call), &request(at(0), 1, 1, true)));
+        decisions.filter(|decision| *decision == Decision::Run).count()
+    };
+    assert!(run(&mut gate, 0..50) <= 10);
+    gate.record_limit(at(1), Limit::None);
+    gate.tick(at(1));
+    assert_eq!(run(&mut gate, 50..90), 40);
+    gate.forget_target();
+    assert_eq!(run(&mut gate, 90..100), 0, "another instance may have a limit");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Offer(u32, u32),
