mesh: split facts, dump and periodic work from the modules that had grown

How the state follows the facts, and the dump for operators, are modules of their own below node; the periodic work and the messages to all peers are in upkeep. Nothing but the place has changed.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -17,6 +17,7 @@
 mod socket;
 mod sync;
 mod target;
+mod upkeep;
 mod vouch;
 
 pub use {
--- /dev/null
+++ b/lib/src/mesh/node/dump.rs
@@ -0,0 +1,63 @@
+//! A node's state for operators.
+
+use {
+    super::Node,
+    crate::{
+        balance, id,
+        mesh::position::Position,
+        time::Instant,
+        unit::{RequestRate, Revision},
+    },
+    serde::Serialize,
+    std::collections::BTreeMap,
+};
+
+/// A summary of the state of a node for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// The name of the VM that the node runs on.
+    pub vm: id::Vm,
+    /// The revision of the routing table in force.
+    pub table: Option<Revision>,
+    /// The position up to which the facts are complete.
+    pub position: Position,
+    /// The position at which the last read found the store.
+    pub store: Position,
+    /// The time since the document was last known to be the newest one.
+    pub confirmed_age_ms: Option<u64>,
+    /// The number of targets.
+    pub targets: usize,
+    /// The number of peers.
+    pub peers: usize,
+    /// The number of calls running on the local target.
+    pub in_flight: usize,
+    /// The number of calls queued for the local target.
+    pub waiting: usize,
+    /// The limit on requests per second that the local target names.
+    pub target_limit: Option<f64>,
+    /// The state of load balancing by pool.
+    pub pools: BTreeMap<id::Pool, balance::Dump>,
+}
+
+impl Node {
+    /// Returns a summary of the state for operators.
+    pub fn dump(&self, now: Instant) -> Dump {
+        Dump {
+            vm: self.settings.vm.clone(),
+            table: self.table.as_ref().map(|table| table.revision()),
+            position: self.facts.position(),
+            store: self.lag.latest(),
+            confirmed_age_ms: self.lease.age(now).map(|age| age.as_millis() as u64),
+            targets: self.fleet.iter().count(),
+            peers: self.peers.len(),
+            in_flight: self.gate.in_flight(),
+            waiting: self.gate.waiting(),
+            target_limit: self.gate.limit().map(RequestRate::per_second),
+            pools: self
+                .pickers
+                .iter()
+                .map(|(pool, picker)| (pool.clone(), picker.dump(now)))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/mesh/node/facts.rs
@@ -0,0 +1,202 @@
+//! How a node's state follows the facts that the platform and peers give it.
+
+use {
+    super::Node,
+    crate::{
+        balance::{self, Picker},
+        id,
+        mesh::{
+            fact::{Fact, Key, Target, Update, Value},
+            lag::Lag,
+            position::{Era, Position},
+            table::Table,
+        },
+        time::Instant,
+        unit::Revision,
+    },
+    rand::RngExt as _,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// The factor by which a target in another data centre has to be cheaper than a local one. Traffic
+/// between data centres costs money, and a target with published slots is not slower at half load.
+const REMOTE_FACTOR: f64 = 3.0;
+/// The same factor if the local target is nearly full. The path to another data centre takes a
+/// millisecond or two.
+const BUSY_REMOTE_FACTOR: f64 = 1.2;
+
+/// The changes caused by a set of facts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// The revision of a new table that is in force.
+    pub table: Option<Revision>,
+    /// Whether targets were added, removed or changed.
+    pub has_target_changes: bool,
+}
+
+impl Node {
+    /// Applies facts. `position` is where the store is complete up to with them.
+    pub fn apply(&mut self, now: Instant, facts: &[Fact], position: Position) -> Changes {
+        let mut changes = Changes::default();
+        for fact in facts {
+            if self.facts.insert(now, fact) {
+                self.apply_fact(now, fact, &mut changes);
+            }
+        }
+        self.facts.advance_position(position);
+        self.lag.record_facts(self.facts.position());
+        if changes.has_target_changes || changes.table.is_some() {
+            self.refresh(now);
+        }
+        changes
+    }
+
+    /// Applies a complete listing of the platform or of a peer. Targets that it does not contain
+    /// are removed.
+    pub fn apply_listing(&mut self, now: Instant, facts: &[Fact], position: Position) -> Changes {
+        let listed: BTreeSet<&Key> = facts.iter().map(|fact| &fact.key).collect();
+        let missing = self.facts.missing_from(&listed, position);
+        if self.facts.position() == Position::default() {
+            self.facts.start_history(position);
+        }
+        // A peer that has just started has no facts and knows no era.
+        if position != Position::default() {
+            self.record_era(now, position.era);
+        }
+        let all: Vec<Fact> = facts.iter().cloned().chain(missing).collect();
+        self.apply(now, &all, position)
+    }
+
+    /// Applies what a peer sent.
+    pub fn apply_update(&mut self, now: Instant, update: &Update) -> Changes {
+        match update.is_complete && update.position >= self.facts.position() {
+            true => self.apply_listing(now, &update.facts, update.position),
+            false => self.apply(now, &update.facts, self.facts.position().max(update.position)),
+        }
+    }
+
+    /// Records the era of an answer of the store. Returns whether the store was restored from a copy
+    /// since the last one, so that a complete listing is needed.
+    pub fn record_era(&mut self, now: Instant, era: Era) -> bool {
+        let is_restored = self.eras.record(now, era);
+        if is_restored {
+            log::warn!("the store was restored from a copy, {era}");
+            // Targets whose entries the copy lacks write them again.
+            self.fleet.record_outage(now);
+        }
+        is_restored
+    }
+
+    /// Records that the document was the newest one at this time, according to a peer.
+    pub fn confirm(&mut self, at: Instant) {
+        self.lease.confirm(at);
+    }
+
+    /// Records a read of the store, requested at this time in the given era, that found the document
+    /// of the given revision. Returns whether it confirms the document in force.
+    pub fn confirm_read(&mut self, requested_at: Instant, era: Era, found: Revision) -> bool {
+        let in_force = self.table.as_ref().map(|table| table.revision());
+        // A copy may lack the document in force, and with it the one that follows.
+        let is_confirmed = in_force.is_some_and(|revision| revision <= found)
+            && self.eras.is_conclusive(requested_at, era);
+        if is_confirmed {
+            self.lease.confirm(requested_at);
+        }
+        is_confirmed
+    }
+
+    /// Records that a read found the store at this position.
+    pub fn record_store_position(&mut self, now: Instant, position: Position) {
+        self.lag.record_store(now, position, self.facts.position());
+    }
+
+    /// Returns how far the facts are behind the store.
+    pub fn lag(&self) -> &Lag {
+        &self.lag
+    }
+
+    /// Adds the nodes beside these targets as peers. The targets themselves are not used, since
+    /// their entries may be outdated.
+    pub fn add_peers(&mut self, now: Instant, targets: &[Target]) {
+        self.peers.set_targets(targets.iter());
+        if !targets.is_empty() {
+            self.rate_limiter.set_node_count(now, self.peers.len() + 1);
+        }
+    }
+
+    fn apply_fact(&mut self, now: Instant, fact: &Fact, changes: &mut Changes) {
+        match (&fact.key, &fact.value) {
+            (Key::Document, Value::Document(document)) => {
+                let is_newer =
+                    self.table.as_ref().is_none_or(|table| table.revision() < document.revision);
+                if !is_newer {
+                    return;
+                }
+                match Table::new(document.as_ref().clone()) {
+                    Ok(table) => {
+                        changes.table = Some(table.revision());
+                        self.rate_limiter.set_table(now, &table);
+                        self.table = Some(Arc::new(table));
+                    }
+                    Err(error) => {
+                        log::warn!(
+                            "invalid routing table, revision {}: {error}",
+                            document.revision
+                        );
+                    }
+                }
+            }
+            (Key::Target(_), Value::Target(target)) => {
+                changes.has_target_changes = true;
+                self.fleet.put(now, target.clone());
+            }
+            (Key::Target(name), Value::Removed) => {
+                changes.has_target_changes = true;
+                self.fleet.remove(now, name);
+            }
+            (key, value) => log::warn!("ignored a mismatched fact: {key:?}, {value:?}"),
+        }
+    }
+
+    /// Updates all state that is derived from the table and the targets.
+    pub(super) fn refresh(&mut self, now: Instant) {
+        self.peers.set_targets(self.fleet.iter());
+        self.rate_limiter.set_node_count(now, self.peers.len() + 1);
+        if let Some(target) = self.fleet.by_address(self.settings.target) {
+            self.gate.resize(target.slots);
+            let instance = (target.name.clone(), target.started_at_ms);
+            if self.own_instance.replace(instance.clone()).is_some_and(|last| last != instance) {
+                self.gate.forget_target();
+            }
+        }
+        let mut listed: BTreeMap<id::Pool, Vec<balance::TargetInfo>> = BTreeMap::new();
+        for target in self.fleet.iter() {
+            listed.entry(target.pool.clone()).or_default().push(balance::TargetInfo {
+                vm: target.name.clone(),
+                data_centre: target.data_centre.clone(),
+                slots: target.slots,
+                is_leaving: target.is_leaving,
+            });
+        }
+        for (pool, picker) in &mut self.pickers {
+            picker.set_targets(now, listed.get(pool).map_or(&[], Vec::as_slice));
+        }
+        for (pool, targets) in listed {
+            if !self.pickers.contains_key(&pool) {
+                let data_centre = self.settings.data_centre.clone();
+                let seed = self.random.random();
+                let settings = balance::Settings {
+                    remote_factor: REMOTE_FACTOR,
+                    busy_remote_factor: BUSY_REMOTE_FACTOR,
+                    ..balance::Settings::default()
+                };
+                let mut picker = Picker::new(settings, data_centre, seed);
+                picker.set_targets(now, &targets);
+                self.pickers.insert(pool, picker);
+            }
+        }
+    }
+}
