--- a/bench/src/overload/sim/hop.rs
+++ b/bench/src/overload/sim/hop.rs
@@ -358,7 +358,7 @@
         let (vm, pool) = (node.vm.clone(), self.pools[call.hop].clone());
         let sender = &mut self.nodes[call.sender];
         let picker = &mut sender.pickers[call.hop];
-        picker.call_finished(self.now, &vm, kind, self.now - call.sent_at);
+        picker.call_finished(self.now, &vm, kind, Some(self.now - call.sent_at));
         picker.record_report(self.now, &vm, &report);
         if kind == CallResult::Ok {
             sender.tracker.record_reached_pools(route, reached);
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -168,13 +168,13 @@
     }
 
     /// Records the end of a call that was sent. A refusal by the target or its node is
-    /// [`CallResult::Shed`].
+    /// [`CallResult::Shed`]. `latency` is absent if it does not tell how fast the target is.
     pub fn call_finished(
         &mut self,
         now: Instant,
         vm: &id::Vm,
         kind: CallResult,
-        latency: Duration,
+        latency: Option<Duration>,
     ) {
         let may_eject = self.may_eject(now, vm);
         let others_failed = self.others_failed_share(vm);
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -128,18 +128,18 @@
         }
     }
 
-    /// Records the end of a call.
-    pub fn call_finished(&mut self, now: Instant, kind: CallResult, latency: Duration) {
+    /// Records the end of a call. Without a latency the mean stays as it is.
+    pub fn call_finished(&mut self, now: Instant, kind: CallResult, latency: Option<Duration>) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match kind {
-            CallResult::Ok => self.record_call(false, Some(latency)),
+            CallResult::Ok => self.record_call(false, latency),
             CallResult::Failed => self.record_call(true, None),
             CallResult::Broken => {
                 self.consecutive_broken += 1;
                 self.record_call(true, None);
             }
             CallResult::Shed => self.full_until = now + FULL_PERIOD,
-            CallResult::Cancelled => self.record_censored(latency),
+            CallResult::Cancelled => latency.into_iter().for_each(|one| self.record_censored(one)),
         }
         if kind != CallResult::Broken {
             self.consecutive_broken = 0;
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -21,7 +21,7 @@
 
 use {
     super::{
-        announcement::Announcement,
+        announcement::{Announcement, Limit},
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -44,7 +44,7 @@
     rand::{SeedableRng as _, seq::IteratorRandom as _},
     rand_chacha::ChaCha8Rng,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::{IpAddr, SocketAddr},
         sync::Arc,
         time::Duration,
@@ -126,6 +126,8 @@
     crash_tracker: CrashTracker,
     pool_selectors: HashMap<id::Route, WeightedRoundRobin>,
     longest_timeouts: LongestTimeouts,
+    /// The targets that named a limit in their last response to this node.
+    limited_targets: BTreeSet<id::Vm>,
     gate: Gate,
     /// The name and start of the local target that the gate is for.
     own_instance: Option<(id::Vm, u64)>,
@@ -156,6 +158,7 @@
             ),
             pool_selectors: HashMap::new(),
             longest_timeouts: LongestTimeouts::default(),
+            limited_targets: BTreeSet::new(),
             gate: Gate::new(0),
             own_instance: None,
             rate_limiter: RateLimiter::default(),
@@ -306,6 +309,11 @@
         if is_leaving {
             self.refresh(now);
         }
+        match announcement.limit {
+            Limit::None => _ = self.limited_targets.remove(target),
+            Limit::Rate(_) => _ = self.limited_targets.insert(target.clone()),
+            Limit::Malformed => {}
+        }
         // The limits of other targets are kept by their own nodes.
         let is_own = self.own_target().as_ref() == Some(target);
         let is_limit_changed = is_own && self.gate.record_limit(now, announcement.limit);
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -181,6 +181,7 @@
                 is_leaving: target.is_leaving,
             });
         }
+        self.limited_targets.retain(|name| self.fleet.get(name).is_some());
         for (pool, picker) in &mut self.pickers {
             picker.set_targets(now, listed.get(pool).map_or(&[], Vec::as_slice));
         }
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -91,7 +91,7 @@
             ForwardResult::Broken => (CallResult::Broken, Some(Refusal::unknown(Reason::Broken))),
         };
         if let Some(picker) = self.pickers.get_mut(&pool) {
-            picker.call_finished(now, &to, kind, now.since(since));
+            picker.call_finished(now, &to, kind, Some(now.since(since)));
         }
         match refusal {
             None => {
@@ -291,7 +291,7 @@
                 state.budget.reclaim(quota, 0);
                 let pool = state.offer.pool.clone();
                 if let Some(picker) = self.pickers.get_mut(&pool) {
-                    picker.call_finished(now, &to, CallResult::Cancelled, now.since(since));
+                    picker.call_finished(now, &to, CallResult::Cancelled, Some(now.since(since)));
                 }
                 self.emit(Action::Abort { call });
             }
--- a/lib/src/node/serve.rs
+++ b/lib/src/node/serve.rs
@@ -209,7 +209,7 @@
     ) {
         let Some(state) = self.calls.get(&call).filter(|state| state.is_upstream()) else { return };
         if let Some(picker) = self.pickers.get_mut(&state.offer.pool) {
-            picker.call_finished(self.now, &self.vm, kind, latency);
+            picker.call_finished(self.now, &self.vm, kind, Some(latency));
         }
     }
 
--- a/lib/tests/balance.rs
+++ b/lib/tests/balance.rs
@@ -47,7 +47,7 @@
         let vm = picker.pick(now, &[]).expect("there is a target");
         let (kind, latency) = answer(vm.as_str());
         picker.call_started(&vm);
-        picker.call_finished(now, &vm, kind, latency);
+        picker.call_finished(now, &vm, kind, Some(latency));
         *counts.entry(vm.to_string()).or_default() += 1;
     }
     counts
