sync: find another source before a new document is due

Cause: the reader of its data centre lost the store 60 ms before the change. It noticed at its next read of the document, 0.8 s later, although its watch had failed at once; the next candidate was cut off as well; and nodes asked the other data centres only when their last confirmation was 2.2 s old, more than the 2.0 s in which a document has to be in force.

A failed watch is now followed by a read of the document at once. Peers are answered at each confirmation, so the age of the last one stays below 1.2 s while the source reads, and one of 1.4 s starts the search, whose first requests are 40 ms apart.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -70,6 +70,8 @@
     is_closed_to_peers: Cell<bool>,
     state_changed: Notify,
     last_platform_read: Cell<Option<Instant>>,
+    /// Whether the document is to be read before the next regular read.
+    is_read_due: Cell<bool>,
     /// Notified when the platform's store was restored, so that a waiting watch is given up.
     store_restored: Notify,
     /// Notified after each read of the document.
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -220,10 +220,13 @@
     let arrived = clock::now();
     let deadline = tokio::time::Instant::now() + wait;
     let was_reader = mesh.has_read_recently(arrived);
+    let confirmed = || mesh.node.borrow().lease().confirmed();
+    let confirmed_before = confirmed();
     loop {
         let changed = mesh.state_changed.notified();
         let has_lost_platform = was_reader && !mesh.has_read_recently(clock::now());
-        if mesh.has_news_for(&query) || has_lost_platform {
+        let is_confirmed_again = confirmed() > confirmed_before;
+        if mesh.has_news_for(&query) || has_lost_platform || is_confirmed_again {
             break;
         }
         if tokio::time::timeout_at(deadline, changed).await.is_err() {
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -31,8 +31,9 @@
 /// The delay between two watch requests. It batches changes that arrive close together, since the
 /// platform charges for each read.
 const WATCH_DELAY: Duration = Duration::from_millis(150);
-/// How long a peer holds a request for facts open when it has no new ones.
-const PEER_LONG_POLL: Duration = Duration::from_millis(700);
+/// How long a peer holds a request for facts open when it has neither new ones nor a confirmation of
+/// the document, which a reader gets each `CONFIRM_INTERVAL`.
+const PEER_LONG_POLL: Duration = Duration::from_millis(1_100);
 /// How long a response of a peer may take beyond the time for which the peer may hold the request.
 pub const PEER_RESPONSE_GRACE: Duration = Duration::from_millis(500);
 /// A node whose last read of the platform is older than this no longer counts as a reader. It is
@@ -41,9 +42,14 @@
 /// The delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The age of the last confirmation above which a node also asks peers other than its usual source.
-const STALE_AFTER: Duration = Duration::from_millis(2_200);
+/// It exceeds the interval between two confirmations, and leaves time to find another source within
+/// the two seconds in which a new document has to be in force.
+const STALE_AFTER: Duration = Duration::from_millis(1_400);
 /// The delay between two peers that are asked for news of the platform.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
+/// The same delay for the first [`QUICK_SEARCHES`], among which are the readers of all data centres.
+const QUICK_SEARCH_INTERVAL: Duration = Duration::from_millis(40);
+const QUICK_SEARCHES: usize = 8;
 /// How often a node looks whether it has to read the platform.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a starting node waits for entries of targets, by which it finds its peers. The targets
@@ -223,6 +229,8 @@
                 Err(error) => {
                     is_listed &= !matches!(error, adapter::Error::Compacted(_));
                     self.on_read_error(&error, "changes");
+                    // Tells at once whether this node can still read for its peers.
+                    self.is_read_due.set(true);
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -255,7 +263,7 @@
             if last_role.replace(role) != Some(role) {
                 log::info!(role:% = role, rank = place.rank, nodes = place.nodes; "role changed");
             }
-            if !schedule.is_due(now, role, place) {
+            if !schedule.is_due(now, role, place) && !self.is_read_due.take() {
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
@@ -298,6 +306,8 @@
         if changes != Changes::default() {
             self.on_changes(changes, "platform");
         }
+        // Peers that wait for facts get the confirmation.
+        self.state_changed.notify_waiters();
     }
 
     /// Requests facts from the peer that reads the platform for this node. If the last confirmation
@@ -305,13 +315,18 @@
     async fn sync_from_peers(self: Rc<Self>) {
         let mut next = 0;
         loop {
-            let is_stale = self.is_stale();
+            let age = self.node.borrow().lease().age(clock::now());
+            let until_stale = age.map_or(Duration::ZERO, |age| STALE_AFTER.saturating_sub(age));
+            let is_stale = until_stale.is_zero();
             let source = match self.source() {
                 Source::Peer(host) => Some(host),
                 Source::Platform => None,
             };
             let host = match is_stale {
-                false => source,
+                false => {
+                    next = 0;
+                    source
+                }
                 // The usual source is asked every other time.
                 true => {
                     let order = self.node.borrow().peers().search_order(clock::now());
@@ -320,13 +335,16 @@
                     source.filter(|_| next % 2 == 0).or(other)
                 }
             };
-            let wait = if is_stale { Duration::ZERO } else { PEER_LONG_POLL };
+            let wait = PEER_LONG_POLL.min(until_stale);
             let is_fetched = match host {
                 Some(host) => self.fetch_facts(host, wait).await,
                 None => false,
             };
             match (is_fetched, is_stale) {
                 (true, false) => {}
+                (_, true) if next <= QUICK_SEARCHES => {
+                    tokio::time::sleep(QUICK_SEARCH_INTERVAL).await;
+                }
                 (_, true) => tokio::time::sleep(SEARCH_INTERVAL).await,
                 (false, false) => tokio::time::sleep(RETRY_DELAY).await,
             }
