soak: servers that leave by their answers, name limits and answer without end

The audit checks from what callers saw that a machine that passed on an answer of a leaving server sends it nothing 2 s later, and from what servers got that they get no more than 1.5 times their limit and 5 requests in 4 s.

--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -150,6 +150,8 @@
     configuration: Vec<u8>,
     /// The state that each registered server wrote last, by the index of its machine.
     registered: Mutex<BTreeMap<usize, String>>,
+    /// The number of starts of all servers so far, by which the last start of each is told apart.
+    starts: Mutex<BTreeMap<usize, u64>>,
     /// The number of entries written so far, which stands in for the heartbeats of all servers.
     sequence: AtomicU64,
 }
@@ -181,6 +183,7 @@
             version: 0,
             configuration: Vec::new(),
             registered: Mutex::default(),
+            starts: Mutex::default(),
             sequence: AtomicU64::new(0),
         })
     }
@@ -247,14 +250,22 @@
         Ok(())
     }
 
+    /// Makes the entries of a machine's server from now on those of another start of it.
+    pub fn renew(&self, index: usize) {
+        let mut starts = self.starts.lock().expect("no holder of the lock panics");
+        *starts.entry(index).or_default() += 1;
+    }
+
     /// Writes the store entry of a machine's server with the given state.
     pub fn register(&self, index: usize, state: &str) {
         let machine = &self.machines[index];
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let starts = self.starts.lock().expect("no holder of the lock panics");
+        let starts = starts.get(&index).copied().unwrap_or(0);
         self.registered().insert(index, state.into());
         let entry = json!({
             "address": machine.server.address().to_string(),
-            "born": 1_700_000_000_000_u64 + index as u64,
+            "born": 1_700_000_000_000_u64 + index as u64 + starts * 1_000,
             "info": {"service": machine.service, "version": "v1", "zone": machine.zone,
                 "slots": machine.server.slots()},
             "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
--- a/testutils/src/mesh/soak/audit.rs
+++ b/testutils/src/mesh/soak/audit.rs
@@ -22,6 +22,16 @@
 /// The most repeated arrivals of requests: a share of all requests plus a constant.
 const MAX_REPEAT_SHARE: f64 = 0.2;
 const REPEAT_TOLERANCE: f64 = 48.0;
+/// The most time from an answer that says that its server is leaving until the machine that passed it
+/// on sends that server no more requests (`drain_ms`).
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// How long after a server first named its limit the limit binds (`stability_ms`).
+const LIMIT_SETTLE: Duration = Duration::from_secs(3);
+/// The window over which the limits of servers are checked.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// The most requests within the window: this multiple of what the limit allows, plus a constant.
+const LIMIT_TOLERANCE: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
 /// The most time until an answer: timeout, grace and a pause, with tolerance for a busy machine.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(8_000);
 
@@ -54,6 +64,22 @@
     ended: Option<Instant>,
 }
 
+/// A time during which a server was leaving or named a limit.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    machine: usize,
+    /// The limit in requests per second, or none while the server is leaving.
+    limit: Option<u32>,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+impl Period {
+    fn contains(&self, at: Instant) -> bool {
+        at >= self.from && self.until.is_none_or(|until| at < until)
+    }
+}
+
 /// What was observed during a soak.
 #[derive(Debug)]
 pub struct Audit {
@@ -63,6 +89,7 @@
     pub violations: Vec<String>,
     incarnations: Vec<Vec<Incarnation>>,
     withdrawn: HashMap<String, Instant>,
+    periods: Vec<Period>,
 }
 
 impl Audit {
@@ -74,6 +101,7 @@
             violations: Vec::new(),
             incarnations: vec![vec![incarnation]; machines],
             withdrawn: HashMap::new(),
+            periods: Vec::new(),
         }
     }
 
@@ -97,6 +125,37 @@
         self.incarnations[machine].push(Incarnation { started, leaving: None, ended: None });
     }
 
+    /// Records that a server says in all answers that it is leaving.
+    pub fn record_departure(&mut self, machine: usize) {
+        self.begin_period(machine, None);
+    }
+
+    /// Records that a server that was leaving has been started again.
+    pub fn record_return(&mut self, machine: usize) {
+        self.end_period(machine, |period| period.limit.is_none());
+    }
+
+    /// Records that a server names this limit in all answers.
+    pub fn record_limit(&mut self, machine: usize, limit: u32) {
+        self.begin_period(machine, Some(limit));
+    }
+
+    /// Records that a server names no limit any more.
+    pub fn record_limit_lifted(&mut self, machine: usize) {
+        self.end_period(machine, |period| period.limit.is_some());
+    }
+
+    fn begin_period(&mut self, machine: usize, limit: Option<u32>) {
+        self.periods.push(Period { machine, limit, from: Instant::now(), until: None });
+    }
+
+    fn end_period(&mut self, machine: usize, is_kind: impl Fn(&Period) -> bool) {
+        let mut open = self.periods.iter_mut().filter(|period| period.until.is_none());
+        if let Some(period) = open.find(|period| period.machine == machine && is_kind(period)) {
+            period.until = Some(Instant::now());
+        }
+    }
+
     /// Records that a key was withdrawn.
     pub fn record_withdrawal(&mut self, key: String) {
         self.withdrawn.insert(key, Instant::now());
@@ -126,6 +185,8 @@
         violations.extend(self.check_rate(&arrivals));
         violations.extend(self.check_repeats(&arrivals));
         violations.extend(self.check_key_order(&arrivals));
+        violations.extend(self.check_departures(&arrivals));
+        violations.extend(self.check_limits(deployment));
         violations
     }
 
@@ -232,6 +293,67 @@
         violations
     }
 
+    /// Checks that a machine that passed on an answer of a leaving server soon sends it no requests.
+    fn check_departures(&self, arrivals: &BTreeMap<String, Vec<Run>>) -> Vec<String> {
+        let mut violations = Vec::new();
+        for period in self.periods.iter().filter(|period| period.limit.is_none()) {
+            let server = format!("i-m{}", period.machine);
+            for machine in 0..self.incarnations.len() {
+                let sent = || self.sent.iter().filter(move |sent| sent.machine == machine);
+                let is_notice = |sent: &&SentRequest| {
+                    sent.says_leaving(&server)
+                        && sent.at >= period.from
+                        && period.contains(sent.ended)
+                };
+                let Some(told) = sent().filter(is_notice).map(|sent| sent.ended).min() else {
+                    continue;
+                };
+                let is_late = |sent: &&SentRequest| {
+                    let has_restarted =
+                        self.incarnation_at(machine, sent.at) != self.incarnation_at(machine, told);
+                    sent.at > told + DRAIN_LIMIT && !has_restarted
+                };
+                let is_reached = |sent: &&SentRequest| {
+                    arrivals.get(&sent.id).is_some_and(|runs| {
+                        runs.iter().any(|run| {
+                            run.field("x-expect-instance") == Some(&server)
+                                && period.contains(run.at)
+                        })
+                    })
+                };
+                violations.extend(sent().filter(is_late).filter(is_reached).map(|sent| {
+                    format!("request sent to {server} after it had said that it leaves: {sent:?}")
+                }));
+            }
+        }
+        violations
+    }
+
+    /// Checks that servers get no more requests than the limits that they name.
+    fn check_limits(&self, deployment: &Deployment) -> Vec<String> {
+        let mut violations = Vec::new();
+        for period in &self.periods {
+            let Some(limit) = period.limit else { continue };
+            let allowed =
+                f64::from(limit) * LIMIT_WINDOW.as_secs_f64() * LIMIT_TOLERANCE + LIMIT_SLACK;
+            let runs = deployment.machines[period.machine].server.runs();
+            let binds = |at: &Instant| *at >= period.from + LIMIT_SETTLE && period.contains(*at);
+            let times: Vec<Instant> = runs.iter().map(|run| run.at).filter(binds).collect();
+            let in_window = |first: usize| {
+                times[first..].iter().take_while(|at| **at - times[first] < LIMIT_WINDOW).count()
+            };
+            let worst = (0..times.len()).map(in_window).max().unwrap_or(0);
+            if worst as f64 > allowed {
+                violations.push(format!(
+                    "{worst} requests in {LIMIT_WINDOW:?} at m{} with a limit of {limit}/s, \
+                     {allowed} allowed",
+                    period.machine
+                ));
+            }
+        }
+        violations
+    }
+
     /// Returns when a rotated key was published, which is when the previous one was withdrawn.
     fn published_at(&self, key: &str) -> Instant {
         let number = key.rsplit('-').next().and_then(|number| number.parse::<usize>().ok());
@@ -250,6 +372,13 @@
         self.reply.as_ref().map(|reply| reply.status)
     }
 
+    fn says_leaving(&self, server: &str) -> bool {
+        self.reply.as_ref().is_some_and(|reply| {
+            reply.field("server-leaving") == Some("1")
+                && reply.field("x-response-signature") == Some(&format!("s.{server}"))
+        })
+    }
+
     fn is_own_answer(&self, runs: &[&Run]) -> bool {
         let Some(reply) = &self.reply else { return false };
         let is_answered_by = |run: &&Run| {
--- a/testutils/src/mesh/soak/schedule.rs
+++ b/testutils/src/mesh/soak/schedule.rs
@@ -20,6 +20,8 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1_800);
 /// How long a draining server still serves.
 const DRAIN_TIME: Duration = Duration::from_millis(2_300);
+/// The limits, in requests per second, that servers name.
+const LIMITS: std::ops::Range<u32> = 2..12;
 /// How long servers work on a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -37,6 +39,7 @@
     RestoreStore(Copy),
     WriteAgain,
     RestoreServer(usize),
+    LiftLimit(usize),
 }
 
 /// Injects faults into a deployment and ends them on schedule.
@@ -52,6 +55,10 @@
     cut: Vec<bool>,
     /// Whether the server of each machine has a fault or is draining.
     impaired: Vec<bool>,
+    /// Whether the server of each machine is draining.
+    draining: Vec<bool>,
+    /// Whether the server of each machine names a limit.
+    limited: Vec<bool>,
     log: Vec<String>,
     start: Instant,
 }
@@ -73,6 +80,8 @@
             busy: vec![false; count],
             cut: vec![false; count],
             impaired: vec![false; count],
+            draining: vec![false; count],
+            limited: vec![false; count],
             log: Vec::new(),
             start: Instant::now(),
         }
@@ -128,7 +137,7 @@
 
     fn inject_fault(&mut self) -> io::Result<()> {
         let machine = self.random.random_range(0..self.links.len());
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..12) {
             0 => self.signal(machine, Signal::SIGTERM),
             1 => self.signal(machine, Signal::SIGKILL),
             2 => self.signal(machine, Signal::SIGSTOP),
@@ -137,6 +146,7 @@
             6 => self.drain(machine),
             7 => self.fail_store(),
             8 => self.copy_store(),
+            9 | 10 => self.limit(machine),
             _ => self.rotate_key(),
         }
         Ok(())
@@ -181,7 +191,7 @@
     }
 
     fn impair(&mut self, machine: usize) {
-        const FAULTS: [Behaviour; 8] = [
+        const FAULTS: [Behaviour; 10] = [
             Behaviour::Fails,
             Behaviour::Sheds,
             Behaviour::Resets,
@@ -190,6 +200,8 @@
             Behaviour::ExtraAnswer,
             Behaviour::Garbage,
             Behaviour::Unframed,
+            Behaviour::Endless("HEAD", "X-Fill: a\r\n"),
+            Behaviour::Endless("HEAD\r\n", "x"),
         ];
         if std::mem::replace(&mut self.impaired[machine], true) {
             return;
@@ -205,17 +217,35 @@
         if self.cut[machine] || std::mem::replace(&mut self.impaired[machine], true) {
             return;
         }
-        let is_announced = self.random.random_bool(0.5);
-        self.record(&format!("server of m{machine} drains, announced: {is_announced}"));
-        self.deployment.machines[machine].server.set_healthy(false);
-        match is_announced {
-            true => self.deployment.register(machine, "draining"),
-            false => self.deployment.unregister(machine),
+        self.draining[machine] = true;
+        let server = &self.deployment.machines[machine].server;
+        server.set_healthy(false);
+        server.set_added_fields(&[("Server-Leaving", "1")]);
+        self.shared.audit.borrow_mut().record_departure(machine);
+        let entry = ["draining", "removed", "ready"][self.random.random_range(0..3)];
+        self.record(&format!("server of m{machine} drains, its entry is {entry}"));
+        match entry {
+            "removed" => self.deployment.unregister(machine),
+            state => self.deployment.register(machine, state),
         }
         self.schedule(DRAIN_TIME, Event::Unregister(machine));
         self.schedule(DRAIN_TIME + REGISTRATION_DELAY, Event::Register(machine));
     }
 
+    fn limit(&mut self, machine: usize) {
+        if std::mem::replace(&mut self.impaired[machine], true) {
+            return;
+        }
+        self.limited[machine] = true;
+        let limit = self.random.random_range(LIMITS);
+        let wait = self.random_millis(1_000..9_000);
+        self.record(&format!("server of m{machine} takes {limit}/s for {wait:?}"));
+        let server = &self.deployment.machines[machine].server;
+        server.set_added_fields(&[("Server-Limit", &limit.to_string())]);
+        self.shared.audit.borrow_mut().record_limit(machine, limit);
+        self.schedule(wait, Event::LiftLimit(machine));
+    }
+
     fn fail_store(&mut self) {
         let fault = [Fault::Status(503), Fault::Unresponsive, Fault::StalledWatches]
             [self.random.random_range(0..3)];
@@ -274,8 +304,13 @@
                 let server = &self.deployment.machines[machine].server;
                 server.set_healthy(true);
                 server.set_behaviour(Behaviour::Normal, SERVICE_TIME);
+                if std::mem::replace(&mut self.draining[machine], false) {
+                    server.set_added_fields(&[]);
+                    self.deployment.renew(machine);
+                    self.shared.audit.borrow_mut().record_return(machine);
+                }
                 self.deployment.register(machine, "ready");
-                self.impaired[machine] = false;
+                self.impaired[machine] = self.limited[machine];
             }
             Event::Register(_) => {}
             Event::Unregister(machine) => self.deployment.unregister(machine),
@@ -293,6 +328,12 @@
             }
             Event::WriteAgain => self.deployment.write_again(),
             Event::HealStore => self.deployment.store.fail(Fault::None),
+            Event::LiftLimit(machine) => {
+                self.deployment.machines[machine].server.set_added_fields(&[]);
+                self.shared.audit.borrow_mut().record_limit_lifted(machine);
+                self.limited[machine] = false;
+                self.impaired[machine] = false;
+            }
             Event::RestoreServer(machine) => {
                 self.deployment.machines[machine]
                     .server
