--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -2,6 +2,14 @@
 //!
 //! A frame consists of the lengths of the head and of the body, each a little-endian `u32`, then
 //! the head and the body. Bodies are not encoded with postcard, which saves a copy.
+//!
+//! The head holds the message, then optionally an [`Extension`], then optionally a [`Supplement`].
+//! Postcard encodes by position and ignores what follows, so earlier versions ignore what they do
+//! not know. Data that was added later is therefore never put into the message itself.
+
+mod supplement;
+
+pub use supplement::Supplement;
 
 use {
     crate::http::message::Field,
@@ -28,6 +36,8 @@
 /// The largest body, in bytes: the platform's limit plus some headroom.
 const MAX_BODY_BYTES: usize = 80 << 20;
 const PREFIX_BYTES: usize = 8;
+/// Precedes the supplement of a message without an extension. Receivers of such messages ignore it.
+const EMPTY_EXTENSION: Extension = Extension::Query { era: Era(0), document: Revision(0) };
 
 /// A message from the node that opened the link.
 ///
@@ -195,26 +205,41 @@
 ///
 /// Fails if the head or the body exceeds the size limit of a frame.
 pub fn encode<M: Serialize>(number: u64, message: M, body: Bytes) -> io::Result<Frame> {
-    encode_extended(number, message, None, body)
+    encode_with(number, message, Attachments::default(), body)
 }
 
-/// Encodes a message with an extension as a frame.
+/// What follows a message in the head of a frame.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Attachments<'a> {
+    /// The extension, if the message has one.
+    pub extension: Option<&'a Extension>,
+    /// The supplement, if the message has one.
+    pub supplement: Option<&'a Supplement>,
+}
+
+/// Encodes a message and its attachments as a frame.
 ///
 /// # Errors
 ///
 /// Fails if the head or the body exceeds the size limit of a frame.
-pub fn encode_extended<M: Serialize>(
+pub fn encode_with<M: Serialize>(
     number: u64,
     message: M,
-    extension: Option<&Extension>,
+    attachments: Attachments<'_>,
     body: Bytes,
 ) -> io::Result<Frame> {
+    let Attachments { extension, supplement } = attachments;
     let head = vec![0; PREFIX_BYTES];
     let numbered = Envelope { number, message };
     let mut head = postcard::to_extend(&numbered, head).map_err(io::Error::other)?;
+    // A supplement always follows an extension, because earlier versions expect one there.
+    let extension = extension.or(supplement.map(|_| &EMPTY_EXTENSION));
     if let Some(extension) = extension {
         head = postcard::to_extend(extension, head).map_err(io::Error::other)?;
     }
+    if let Some(supplement) = supplement {
+        head = postcard::to_extend(supplement, head).map_err(io::Error::other)?;
+    }
     let length = head.len() - PREFIX_BYTES;
     if length > MAX_HEAD_BYTES || body.len() > MAX_BODY_BYTES {
         return Err(io::Error::other("message exceeds the size limit of a frame"));
@@ -224,7 +249,20 @@
     Ok(Frame { head: head.into(), body })
 }
 
-/// Reads one message, its extension and its body.
+/// A decoded frame.
+#[derive(Clone, Debug)]
+pub struct Received<M> {
+    /// The numbered message.
+    pub envelope: Envelope<M>,
+    /// The extension of the message, if it has one.
+    pub extension: Option<Extension>,
+    /// The supplement of the message, if it has one that this version knows.
+    pub supplement: Option<Supplement>,
+    /// The body that belongs to the message.
+    pub body: Bytes,
+}
+
+/// Reads one message with its attachments and its body.
 ///
 /// # Errors
 ///
@@ -232,7 +270,7 @@
 pub async fn read<M: DeserializeOwned>(
     from: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
-) -> io::Result<(Envelope<M>, Option<Extension>, Bytes)> {
+) -> io::Result<Received<M>> {
     fill_buffer(from, buffer, PREFIX_BYTES).await?;
     let length = |at: usize| {
         let mut bytes = [0; 4];
@@ -249,12 +287,16 @@
     let mut frame = buffer.split_to(PREFIX_BYTES + head + body);
     let _prefix = frame.split_to(PREFIX_BYTES);
     let head = frame.split_to(head);
-    let (message, rest) = postcard::take_from_bytes(&head).map_err(io::Error::other)?;
-    let extension = match rest.is_empty() {
-        true => None,
-        false => Some(postcard::from_bytes(rest).map_err(io::Error::other)?),
+    let (envelope, rest) = postcard::take_from_bytes(&head).map_err(io::Error::other)?;
+    let (extension, rest) = match rest.is_empty() {
+        true => (None, rest),
+        false => {
+            let (extension, rest) = postcard::take_from_bytes(rest).map_err(io::Error::other)?;
+            (Some(extension), rest)
+        }
     };
-    Ok((message, extension, Bytes::copy_from_slice(&frame)))
+    let supplement = Supplement::decode(rest);
+    Ok(Received { envelope, extension, supplement, body: Bytes::copy_from_slice(&frame) })
 }
 
 async fn fill_buffer(
--- /dev/null
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -0,0 +1,117 @@
+//! Data that was added to messages after their layout was fixed.
+
+use {
+    monsoon_lib::{
+        id,
+        mesh::{cold, position::Era, scarcity::PoolLoad},
+        pressure::Share,
+        unit::Revision,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Data that follows a message and its extension. Versions that do not know it ignore it, and act as
+/// if it were missing.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Supplement {
+    /// Completes `PeerRequest::Run`.
+    Run {
+        /// The share of its class at which the client's request was admitted.
+        admitted: Share,
+    },
+    /// Completes `PeerResponse::RunFinished`.
+    RunFinished {
+        /// The loads of the target's pool and of the pools below the route, where they are high.
+        loads: Vec<PoolLoad>,
+    },
+    /// Completes `PeerResponse::Facts`.
+    Facts {
+        /// The bounds on cold targets in the document, by pool. Empty if the document is not part of
+        /// the facts.
+        cold_limits: Vec<(id::Pool, cold::Limit)>,
+        /// The remaining cold times of those targets in the facts that are cold.
+        cold_targets: Vec<ColdTarget>,
+        /// The changed evacuations of data centres.
+        evacuations: Vec<EvacuationFact>,
+    },
+}
+
+/// How much longer a target is cold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdTarget {
+    /// The name of the target.
+    pub target: id::Vm,
+    /// The remaining time, counted from when its entry was written, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Whether a data centre is evacuated.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvacuationFact {
+    /// The data centre.
+    pub data_centre: id::DataCentre,
+    /// The era in which this was written.
+    pub era: Era,
+    /// The revision at which this was written.
+    pub revision: Revision,
+    /// Whether the evacuation is in force, or was taken back.
+    pub is_active: bool,
+}
+
+impl Supplement {
+    /// Decodes a supplement. Returns `None` if there is none, or if it is of a kind that only later
+    /// versions know.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        if bytes.is_empty() {
+            return None;
+        }
+        match postcard::from_bytes(bytes) {
+            Ok(supplement) => Some(supplement),
+            Err(error) => {
+                log::debug!(error:% = error; "ignored an unknown supplement of a message");
+                None
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::{
+            super::{Attachments, PeerRequest, encode, encode_with, read},
+            Supplement,
+        },
+        bytes::{Bytes, BytesMut},
+        monsoon_lib::pressure::Share,
+    };
+
+    async fn decode(head: Bytes) -> super::super::Received<PeerRequest> {
+        let mut from = head.as_ref();
+        read(&mut from, &mut BytesMut::new()).await.expect("the frame is valid")
+    }
+
+    /// A message keeps its supplement also without an extension.
+    #[actix_web::test]
+    async fn round_trip() {
+        let supplement = Supplement::Run { admitted: Share(51) };
+        let attachments = Attachments { extension: None, supplement: Some(&supplement) };
+        let frame = encode_with(7, PeerRequest::Ping, attachments, Bytes::new());
+        let received = decode(frame.expect("the frame is small").head).await;
+        assert_eq!(received.envelope.number, 7);
+        assert_eq!(received.supplement, Some(supplement));
+    }
+
+    /// A frame of an earlier version has no supplement.
+    #[actix_web::test]
+    async fn earlier_version() {
+        let frame = encode(7, PeerRequest::Ping, Bytes::new()).expect("the frame is small");
+        assert_eq!(decode(frame.head).await.supplement, None);
+    }
+
+    /// A supplement of a later version does not make the message unreadable.
+    #[test]
+    fn later_version() {
+        assert_eq!(Supplement::decode(&[250, 1, 2, 3]), None);
+    }
+}
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{
-        frame::{self, Envelope, Extension, Frame, PeerRequest, PeerResponse},
+        frame::{
+            self, Attachments, Envelope, Extension, Frame, PeerRequest, PeerResponse, Received,
+            Supplement,
+        },
         socket,
     },
     bytes::{Bytes, BytesMut},
@@ -52,6 +55,9 @@
     pub message: PeerResponse,
     /// The extension of the message, if it has one.
     pub extension: Option<Extension>,
+    /// The supplement of the message, if it has one.
+    #[expect(dead_code, reason = "read by the parts of docs/design/uneven-load.md")]
+    pub supplement: Option<Supplement>,
     /// The body that belongs to the message.
     pub body: Bytes,
 }
@@ -144,28 +150,27 @@
         request: PeerRequest,
         body: Bytes,
     ) -> Result<(PeerResponse, Bytes), Error> {
-        let response = self.request_extended(host, request, None, body).await?;
+        let response = self.request_with(host, request, Attachments::default(), body).await?;
         Ok((response.message, response.body))
     }
 
-    /// Sends a request with an extension to a peer and waits for its response.
+    /// Sends a request with attachments to a peer and waits for its response.
     ///
     /// # Errors
     ///
     /// Fails if the peer can't be reached or the link breaks.
-    pub async fn request_extended(
+    pub async fn request_with(
         &self,
         host: IpAddr,
         request: PeerRequest,
-        extension: Option<&Extension>,
+        attachments: Attachments<'_>,
         body: Bytes,
     ) -> Result<Response, Error> {
         let unreachable = |error| Error::Unreachable(host, error);
         let link = self.link(host).await.map_err(unreachable)?;
         self.last_request_number.set(self.last_request_number.get() + 1);
         let number = self.last_request_number.get();
-        let frame =
-            frame::encode_extended(number, request, extension, body).map_err(unreachable)?;
+        let frame = frame::encode_with(number, request, attachments, body).map_err(unreachable)?;
         let (sender, response) = oneshot::channel();
         if link.pending.borrow().is_empty() {
             link.last_received.set(Instant::now());
@@ -274,11 +279,14 @@
     let mut buffer = BytesMut::new();
     loop {
         match frame::read::<PeerResponse>(&mut from, &mut buffer).await {
-            Ok((Envelope { number, message }, extension, body)) => {
+            Ok(received) => {
+                let Received { envelope, extension, supplement, body } = received;
+                let Envelope { number, message } = envelope;
                 link.last_received.set(Instant::now());
                 if let Some(response_sender) = link.pending.borrow_mut().remove(&number) {
                     // The requester may have been cancelled in the meantime.
-                    let _ = response_sender.send(Response { message, extension, body });
+                    let response = Response { message, extension, supplement, body };
+                    let _ = response_sender.send(response);
                 }
             }
             Err(error) => return error,
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -5,7 +5,9 @@
         Mesh,
         adapter::{Directory, HeaderAdapter},
         buffer::Reservation,
-        frame::{self, Envelope, Extension, Frame, PeerRequest, PeerResponse, RunResult},
+        frame::{
+            self, Attachments, Envelope, Frame, PeerRequest, PeerResponse, Received, RunResult,
+        },
         link,
         replication::{self, Query},
         socket,
@@ -78,9 +80,7 @@
     let mut buffer = BytesMut::new();
     let error = loop {
         match frame::read::<PeerRequest>(&mut read, &mut buffer).await {
-            Ok((Envelope { number, message }, extension, body)) => {
-                dispatch(&link, number, message, extension.as_ref(), body);
-            }
+            Ok(received) => dispatch(&link, received),
             Err(error) => break error,
         }
     };
@@ -93,11 +93,10 @@
 
 fn dispatch<H: HeaderAdapter, D: Directory>(
     link: &Rc<PeerLink<H, D>>,
-    number: u64,
-    peer_request: PeerRequest,
-    extension: Option<&Extension>,
-    body: Bytes,
+    received: Received<PeerRequest>,
 ) {
+    let Received { envelope, extension, body, .. } = received;
+    let Envelope { number, message: peer_request } = envelope;
     let mesh = &link.mesh;
     let now = clock::now();
     match peer_request {
@@ -154,7 +153,7 @@
         PeerRequest::Facts { after, wait_ms } => {
             let wait = Duration::from_millis(wait_ms).min(MAX_FACTS_WAIT);
             let era = mesh.node.borrow().facts().position().era;
-            let query = Query::decode(after, extension, era);
+            let query = Query::decode(after, extension.as_ref(), era);
             let handle = tokio::task::spawn_local(handle_facts(link.clone(), number, query, wait));
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
@@ -253,7 +252,8 @@
         (message, extension)
     };
     link.runs.borrow_mut().remove(&number);
-    match frame::encode_extended(number, message, Some(&extension), Bytes::new()) {
+    let attachments = Attachments { extension: Some(&extension), supplement: None };
+    match frame::encode_with(number, message, attachments, Bytes::new()) {
         // If the link broke meanwhile, nobody waits for the response.
         Ok(frame) => drop(link.frames.send(frame)),
         Err(error) => log::warn!(host:% = link.host, error:% = error; "failed to encode facts"),
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{self, Directory, DocumentRead, HeaderAdapter, Listing},
-        frame::{Extension, PeerRequest, PeerResponse},
+        frame::{Attachments, Extension, PeerRequest, PeerResponse},
         link,
         replication::{self, Query},
     },
@@ -359,7 +359,8 @@
         let request =
             PeerRequest::Facts { after: query.after.revision, wait_ms: wait.as_millis() as u64 };
         let extension = query.extension();
-        let response = self.links.request_extended(host, request, Some(&extension), Bytes::new());
+        let attachments = Attachments { extension: Some(&extension), supplement: None };
+        let response = self.links.request_with(host, request, attachments, Bytes::new());
         match tokio::time::timeout(wait + PEER_RESPONSE_GRACE, response).await {
             Ok(Ok(response)) => self.on_facts(host, requested_at, &query, response),
             Ok(Err(error)) => {
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -5,6 +5,7 @@
 //! based on them and does no I/O. See docs/design/platform.md.
 
 pub mod announcement;
+pub mod cold;
 pub mod fact;
 pub mod fleet;
 pub mod gate;
@@ -16,5 +17,6 @@
 pub mod quota;
 pub mod read_schedule;
 pub mod resend;
+pub mod scarcity;
 pub mod table;
 pub mod throttle;
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -4,6 +4,7 @@
 //! that the driver keeps: [`Node::admit`] creates it, [`Node::next_attempt`] selects the next
 //! target, and [`Node::finish_attempt`] decides whether to resend.
 
+mod admit;
 mod attempt;
 mod call;
 mod dump;
@@ -39,7 +40,7 @@
         id, pressure,
         time::Instant,
     },
-    call::LongestTimeouts,
+    admit::LongestTimeouts,
     peers::Peers,
     rand::{SeedableRng as _, seq::IteratorRandom as _},
     rand_chacha::ChaCha8Rng,
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,25 +10,12 @@
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
-        mesh::{
-            gate::Rank,
-            lineage::{self, Lineage},
-            table::{Kind, Route},
-        },
+        mesh::{gate::Rank, table::Route},
         time::Instant,
     },
-    std::{
-        collections::{BTreeSet, HashMap},
-        hash::{Hash as _, Hasher as _},
-        net::IpAddr,
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
 };
 
-/// The retry delay given to callers while the node has no table or its lease on the keys has
-/// expired.
-const NO_TABLES_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The retry delay given to callers when no target could take the request.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The shortest time that a target needs. A request with less time left is not sent.
@@ -38,19 +25,12 @@
 /// The largest number of attempts for one request, including those refused by the admission control
 /// of the target's node.
 const MAX_ATTEMPTS: usize = 5;
-/// The number of hash buckets that order the calls in a queue. Calls of equal rank, including the
-/// bucket, run in the order of their latency objectives.
-const HASH_BUCKETS: u8 = 16;
 /// The number of levels of nested calls that share the resend budget if calls can't be traced to
 /// runs. The calls of a repeated run count as repeats, so each level may use only a fraction.
 const UNTRACED_CALL_LEVELS: f64 = 4.0;
 /// The fraction of the resend budget that is available to requests that a target ran and failed.
 /// Most fail because one of their own calls failed, and each repeat makes all of its calls again.
 const FAILED_RUN_FRACTION: f64 = 0.25;
-/// A caller whose timeout is shorter than the longest one on the route by at least this time is
-/// taken to be retrying.
-const RETRY_DETECTION_GAP: Duration = Duration::from_millis(60);
-
 /// The properties of a request that decide on its routing and admission.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -86,106 +66,21 @@
     /// The arrival time of the request.
     pub arrived: Instant,
     /// The targets that the request was sent to.
-    attempted: Vec<id::Vm>,
+    pub(super) attempted: Vec<id::Vm>,
     /// The number of attempts in which a target may have run the request.
-    possible_runs: u32,
+    pub(super) possible_runs: u32,
     /// The targets that reported that they did not run the request. They may be attempted again.
-    declined: Vec<id::Vm>,
-    refusal: Option<Refusal>,
+    pub(super) declined: Vec<id::Vm>,
+    pub(super) refusal: Option<Refusal>,
     /// Whether the request is a call of a run that repeats an earlier one.
-    is_repeat: bool,
+    pub(super) is_repeat: bool,
     /// A hash of account and content, which identifies requests that crash targets.
-    fingerprint: u64,
+    pub(super) fingerprint: u64,
     /// The hash of the client's request that the call follows from, as a number between 0 and 1.
-    hash_fraction: f64,
-}
-
-/// The longest caller timeout seen on each route. A caller that retries after a refusal has less
-/// time left.
-#[derive(Debug, Default)]
-pub struct LongestTimeouts {
-    longest: HashMap<id::Route, Duration>,
-}
-
-impl LongestTimeouts {
-    /// Returns the time that the caller has spent on earlier attempts.
-    fn spent(&mut self, route: &id::Route, caller_timeout: Duration) -> Duration {
-        let longest = self.longest.entry(route.clone()).or_default();
-        *longest = caller_timeout.max(*longest);
-        *longest - caller_timeout
-    }
+    pub(super) hash_fraction: f64,
 }
 
 impl Node {
-    /// Routes a request and checks its key, its rate and whether it is known to crash targets.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal, marked as not run, if the request is not admitted.
-    pub fn admit(&mut self, now: Instant, head: &Head) -> Result<Call, Refusal> {
-        let no_tables = Refusal::not_run(Reason::NoTables).after(NO_TABLES_RETRY_AFTER);
-        let table = self.table.clone().ok_or(no_tables)?;
-        let route = table.route(&head.host, &head.path);
-        let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
-        if route.kind == Kind::Unsupported {
-            return Err(no_tables);
-        }
-        let mut account = head.key.as_ref().and_then(|key| table.account_of(key));
-        if table.requires_key() && !self.lease.is_valid(now) {
-            if !route.is_open {
-                return Err(no_tables);
-            }
-            account = None;
-        }
-        if table.requires_key() && !route.is_open && account.is_none() {
-            return Err(Refusal::not_run(Reason::Key));
-        }
-        let fingerprint = fingerprint(account.map(|account| &account.name), head.content_hash);
-        self.crash_tracker.check(fingerprint)?;
-        let caller_timeout = head.caller_timeout.unwrap_or(route.timeout);
-        let spent = self.longest_timeouts.spent(&route.name, caller_timeout);
-        let pool = self.pool_selectors.entry(route.name.clone()).or_default().next(&route.pools);
-        let pool = pool.ok_or(Refusal::not_run(Reason::NoRoute))?;
-        let is_first_attempt = spent < RETRY_DETECTION_GAP;
-        if let Some(account) = account {
-            let charged = self.rate_limiter.try_acquire(now, &account.name);
-            charged.map_err(|wait| Refusal::not_run(Reason::Rate).after(wait))?;
-        }
-        let lineage = self.runs.parent_run(now, &head.request);
-        let hash_fraction = lineage::hash_fraction(&head.request);
-        let rank = match lineage {
-            // If a call fails, the work of its run is lost, so calls go before most requests of the
-            // same rank.
-            Some(Lineage { rank, .. }) => {
-                Rank { hash_bucket: bucket_of(hash_fraction) / 2, ..rank }
-            }
-            None => Rank {
-                account: account.map_or(0, |account| account.rank),
-                route: route.rank,
-                is_first_attempt,
-                hash_bucket: bucket_of(hash_fraction),
-            },
-        };
-        let is_repeat = lineage.is_some_and(|lineage| lineage.is_repeat);
-        self.resend_budget(now, &pool).record_first_send(now, is_repeat);
-        Ok(Call {
-            request: head.request.clone(),
-            account: account.map(|account| account.name.clone()),
-            route: route.clone(),
-            pool,
-            rank,
-            deadline: now + caller_timeout.min(route.timeout),
-            arrived: now,
-            attempted: Vec::new(),
-            possible_runs: 0,
-            declined: Vec::new(),
-            refusal: None,
-            is_repeat,
-            fingerprint,
-            hash_fraction,
-        })
-    }
-
     /// Selects the target of the next attempt. Peers in `unresponsive` have not answered in time;
     /// they are used only if there is no other, and only for idempotent requests: of a request
     /// that is sent to a peer behind a partition nobody knows whether it ran.
@@ -357,18 +252,6 @@
     }
 }
 
-fn fingerprint(account: Option<&id::Account>, content: u64) -> u64 {
-    let mut hash = siphasher::sip::SipHasher13::new();
-    account.hash(&mut hash);
-    content.hash(&mut hash);
-    hash.finish()
-}
-
-/// Maps a hash fraction to one of [`HASH_BUCKETS`] buckets.
-fn bucket_of(hash_fraction: f64) -> u8 {
-    (hash_fraction * f64::from(HASH_BUCKETS)).min(f64::from(HASH_BUCKETS - 1)) as u8
-}
-
 /// Returns the refusal with the shorter retry delay.
 fn with_shorter_delay(previous: Option<Refusal>, refusal: Refusal) -> Refusal {
     let wait = |refusal: &Refusal| refusal.retry_after.unwrap_or(Duration::MAX);
--- a/lib/src/unit.rs
+++ b/lib/src/unit.rs
@@ -90,7 +90,8 @@
 }
 
 /// Requests per second, with fractions. It is finite and not negative.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
 impl RequestRate {
@@ -101,6 +102,27 @@
     pub const fn per_second(self) -> f64 {
         self.0
     }
+
+    fn malformed(found: &str) -> Error {
+        Error::Malformed { expected: "\"44.9/s\"", found: found.into() }
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = Error;
+
+    fn try_from(per_second: f64) -> Result<Self, Error> {
+        match (0.0..=Self::MAX).contains(&per_second) {
+            true => Ok(Self(per_second)),
+            false => Err(Self::malformed(&per_second.to_string())),
+        }
+    }
 }
 
 impl fmt::Display for RequestRate {
@@ -113,10 +135,8 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        let rate = text.strip_suffix("/s").unwrap_or(text).parse().ok();
-        let rate = rate.filter(|rate| (0.0..=Self::MAX).contains(rate));
-        let malformed = || Error::Malformed { expected: "\"44.9/s\"", found: text.into() };
-        rate.map(Self).ok_or_else(malformed)
+        let rate: Option<f64> = text.strip_suffix("/s").unwrap_or(text).parse().ok();
+        rate.and_then(|rate| rate.try_into().ok()).ok_or_else(|| Self::malformed(text))
     }
 }
 
