--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -11,7 +11,7 @@
 
 use {
     crate::{admission::CallResult, id, pressure, time::Instant},
-    member::Member,
+    member::{MeanLoad, Member},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
@@ -48,6 +48,10 @@
     pub max_ejected_share: f64,
     /// The time over which a new or restored target ramps up to its full share, in milliseconds.
     pub ramp_ms: u64,
+    /// Whether a target without a fresh report counts as loaded as the others. One call per
+    /// `report_age_ms` still finds out its load. Otherwise it counts as idle, so that all nodes
+    /// that rarely send to another data centre overrate the room there.
+    pub assumes_mean_load: bool,
 }
 
 impl Default for Settings {
@@ -63,6 +67,7 @@
             max_eject_ms: 30_000,
             max_ejected_share: 0.5,
             ramp_ms: 2000,
+            assumes_mean_load: false,
         }
     }
 }
@@ -93,6 +98,8 @@
     settings: Settings,
     data_centre: id::DataCentre,
     members: Vec<Member>,
+    /// The mean load of the targets with fresh reports at the last pick.
+    mean_load: MeanLoad,
     rng: ChaCha8Rng,
     is_started: bool,
 }
@@ -105,6 +112,7 @@
             settings,
             data_centre,
             members: Vec::new(),
+            mean_load: MeanLoad::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             is_started: false,
         }
@@ -134,6 +142,9 @@
     /// Returns the target for the next call, skipping the excluded ones. An ejected target is
     /// returned only if there is no other.
     pub fn pick(&mut self, now: Instant, exclude: &[id::Vm]) -> Option<id::Vm> {
+        if self.settings.assumes_mean_load {
+            self.mean_load = MeanLoad::of(now, &self.members, &self.settings);
+        }
         let is_allowed = |member: &Member| !member.is_leaving && !exclude.contains(&member.vm);
         let mut local = Vec::new();
         let mut remote = Vec::new();
@@ -156,8 +167,9 @@
             }
             (local, remote) => local.or(remote),
         };
-        let chosen = chosen.or_else(|| self.cheapest(now, ejected));
-        chosen.map(|(i, _)| self.members[i].vm.clone())
+        let (chosen, _) = chosen.or_else(|| self.cheapest(now, ejected))?;
+        self.members[chosen].record_pick(now, &self.settings);
+        Some(self.members[chosen].vm.clone())
     }
 
     /// Records that a call was sent.
@@ -200,7 +212,8 @@
     /// Returns the state for operators.
     pub fn dump(&self, now: Instant) -> Dump {
         let default_latency_s = self.mean_latency_s();
-        let status = |member: &Member| member.status(now, default_latency_s, &self.settings);
+        let status =
+            |member: &Member| member.status(now, default_latency_s, self.mean_load, &self.settings);
         let status = |member: &Member| (member.vm.clone(), status(member));
         Dump { members: self.members.iter().map(status).collect() }
     }
@@ -209,7 +222,7 @@
     /// interpolated by the local target's load, so that a nearly full target can be left more
     /// readily: a round trip to another data centre costs less than queueing.
     fn remote_factor(&self, now: Instant, local: usize) -> f64 {
-        let load = self.members[local].load_share(now, &self.settings);
+        let load = self.members[local].load_share(now, self.mean_load, &self.settings);
         let fraction = ((load - LOW_LOAD) / (HIGH_LOAD - LOW_LOAD)).clamp(0.0, 1.0);
         let Settings { remote_factor, busy_remote_factor, .. } = self.settings;
         remote_factor + (busy_remote_factor - remote_factor) * fraction
@@ -225,7 +238,8 @@
         let mut best: Option<(usize, f64)> = None;
         for _ in 0..self.settings.choices.min(candidates.len()) {
             let index = candidates.swap_remove(self.rng.random_range(0..candidates.len()));
-            let cost = self.members[index].cost(now, default_latency_s, &self.settings);
+            let cost =
+                self.members[index].cost(now, default_latency_s, self.mean_load, &self.settings);
             if best.is_none_or(|(_, lowest)| cost < lowest) {
                 best = Some((index, cost));
             }
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -72,6 +72,32 @@
     in_flight_at_report: u32,
 }
 
+/// The mean load of the targets of a pool that reported theirs lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MeanLoad {
+    share: f64,
+    queue_delay_s: f64,
+}
+
+impl MeanLoad {
+    /// Returns the mean over the members with fresh reports, or no load if there are none.
+    pub fn of(now: Instant, members: &[Member], settings: &Settings) -> Self {
+        let mut sum = Self::default();
+        let mut count = 0.0;
+        for member in members {
+            if let Some(load) = member.fresh_load(now, settings) {
+                sum.share += member.load_share(now, Self::default(), settings);
+                sum.queue_delay_s += load.queue_delay.as_secs_f64();
+                count += 1.0;
+            }
+        }
+        match count > 0.0 {
+            true => Self { share: sum.share / count, queue_delay_s: sum.queue_delay_s / count },
+            false => Self::default(),
+        }
+    }
+}
+
 /// One target of the pool.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -87,6 +113,8 @@
     consecutive_broken: u32,
     load: Option<LoadReport>,
     full_until: Instant,
+    /// When a call was last sent to find out the load of the target.
+    probed_at: Option<Instant>,
     ejection: Option<Ejection>,
     last_duration: Duration,
 }
@@ -107,6 +135,7 @@
             consecutive_broken: 0,
             load: None,
             full_until: Instant::ZERO,
+            probed_at: None,
             ejection: None,
             last_duration: Duration::ZERO,
         }
@@ -194,17 +223,34 @@
         }
     }
 
+    /// Records that the target was selected for a call, which tells its load if that is unknown.
+    pub fn record_pick(&mut self, now: Instant, settings: &Settings) {
+        if self.fresh_load(now, settings).is_none() && !self.is_probed(now, settings) {
+            self.probed_at = Some(now);
+        }
+    }
+
     /// Returns the expected cost: the time of a call, weighted by the load of the target and the
     /// calls in flight from this node. `default_latency_s` is used until a latency has been
-    /// measured.
-    pub fn cost(&self, now: Instant, default_latency_s: f64, settings: &Settings) -> f64 {
+    /// measured, and `mean_load` while a call finds out the load of a target without a report.
+    pub fn cost(
+        &self,
+        now: Instant,
+        default_latency_s: f64,
+        mean_load: MeanLoad,
+        settings: &Settings,
+    ) -> f64 {
         let load = self.fresh_load(now, settings);
         let latency_s = self.latency_s.unwrap_or(default_latency_s).max(1e-6);
-        let delay_s = load.map_or(0.0, |load| load.queue_delay.as_secs_f64());
+        let delay_s = match load {
+            Some(load) => load.queue_delay.as_secs_f64(),
+            None if self.is_probed(now, settings) => mean_load.queue_delay_s,
+            None => 0.0,
+        };
         let calls = load.map_or(self.slots, |load| load.limit);
         let ramped_limit = f64::from(calls) * self.ramp(now, settings);
         let own_share = f64::from(self.in_flight + 1) / ramped_limit;
-        let spare = (COST_POLE - self.load_share(now, settings)).max(COST_POLE - 1.0);
+        let spare = (COST_POLE - self.load_share(now, mean_load, settings)).max(COST_POLE - 1.0);
         (latency_s + delay_s) * (1.0 + own_share) / spare / self.ramp(now, settings)
     }
 
@@ -219,15 +265,22 @@
     }
 
     /// Returns the state for operators.
-    pub fn status(&self, now: Instant, default_latency_s: f64, settings: &Settings) -> Status {
+    pub fn status(
+        &self,
+        now: Instant,
+        default_latency_s: f64,
+        mean_load: MeanLoad,
+        settings: &Settings,
+    ) -> Status {
+        let load = self.fresh_load(now, settings);
         Status {
             state: self.state(now),
             is_leaving: self.is_leaving,
             in_flight: self.in_flight,
             latency: self.latency_s.map(Duration::from_secs_f64),
             failed_share: self.failed,
-            load: self.fresh_load(now, settings).map(|_| self.load_share(now, settings)),
-            cost: self.cost(now, default_latency_s, settings),
+            load: load.map(|_| self.load_share(now, mean_load, settings)),
+            cost: self.cost(now, default_latency_s, mean_load, settings),
         }
     }
 
@@ -236,13 +289,23 @@
         self.load.filter(|load| now - load.received <= max_age)
     }
 
+    fn is_probed(&self, now: Instant, settings: &Settings) -> bool {
+        let period = Duration::from_millis(settings.report_age_ms);
+        settings.assumes_mean_load && self.probed_at.is_some_and(|at| now - at <= period)
+    }
+
     /// Returns the load between 0 and 1: as reported, plus the calls sent by this node since then.
-    pub fn load_share(&self, now: Instant, settings: &Settings) -> f64 {
+    /// A target without a fresh report counts as idle until a call is sent to find out its load, and
+    /// as loaded as the others from then on.
+    pub fn load_share(&self, now: Instant, mean_load: MeanLoad, settings: &Settings) -> f64 {
         if now < self.full_until {
             return 1.0;
         }
         let own_share = f64::from(self.in_flight) / f64::from(self.slots);
-        let Some(load) = self.fresh_load(now, settings) else { return own_share.min(1.0) };
+        let Some(load) = self.fresh_load(now, settings) else {
+            let assumed = if self.is_probed(now, settings) { mean_load.share } else { 0.0 };
+            return own_share.max(assumed).min(1.0);
+        };
         let sent = f64::from(self.in_flight) - f64::from(load.in_flight_at_report);
         let busy = f64::from(load.busy) + sent;
         (busy / f64::from(load.limit)).clamp(0.0, 1.0)
--- a/lib/tests/balance.rs
+++ b/lib/tests/balance.rs
@@ -57,6 +57,43 @@
     pressure::Report { in_flight, limit, ..Default::default() }
 }
 
+/// Sends calls for a second while the local targets report that they are full. The remote ones
+/// report the given load when a call reaches them. Returns the number of remote calls.
+fn send_beside_full_targets(remote: pressure::Report) -> u64 {
+    let settings = Settings { assumes_mean_load: true, ..Settings::default() };
+    let mut picker = Picker::new(settings, "near".parse().expect("a valid name"), 7);
+    picker.set_targets(Instant::ZERO, &two_data_centres());
+    let mut remote_calls = 0;
+    for i in 0..1_000 {
+        let now = Instant::ZERO + ms(i);
+        picker.record_report(now, &vm("a"), &report(100, 100));
+        picker.record_report(now, &vm("b"), &report(100, 100));
+        let picked = picker.pick(now, &[]).expect("there is a target");
+        picker.call_started(&picked);
+        picker.call_finished(now, &picked, CallResult::Ok, Some(ms(50)));
+        if picked == vm("c") || picked == vm("d") {
+            remote_calls += 1;
+            picker.record_report(now, &picked, &remote);
+        }
+    }
+    remote_calls
+}
+
+/// Under overload everywhere, targets elsewhere are not taken for idle because nothing has been
+/// heard of them: only the calls that find out their load go there, one each 500 ms and target.
+#[test]
+fn unknown_remote_load() {
+    let remote_calls = send_beside_full_targets(report(100, 100));
+    assert!((2..=8).contains(&remote_calls), "{remote_calls} remote calls");
+}
+
+/// Room elsewhere is still found and used.
+#[test]
+fn remote_room() {
+    let remote_calls = send_beside_full_targets(report(10, 100));
+    assert!(remote_calls >= 900, "{remote_calls} remote calls");
+}
+
 #[test]
 fn near_first() {
     let mut picker = picker(&two_data_centres());
