mesh/resend: urgent classes use a short budget first

Resends under a short budget went to requests with a low hash fraction of all classes alike, so urgent requests failed while less urgent ones were resent.

Each class has its own fraction of eligible requests.

--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,7 +10,7 @@
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
-        mesh::{gate::Rank, table::Route},
+        mesh::{gate::Rank, scarcity::Class, table::Route},
         time::Instant,
     },
     std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
@@ -234,7 +234,8 @@
             true => share,
             false => share.min(1.0 / UNTRACED_CALL_LEVELS),
         };
-        self.resend_budget(now, &call.pool).try_acquire(now, call.hash_fraction, share)
+        let class = Class::from(call.rank);
+        self.resend_budget(now, &call.pool).try_acquire(now, class, call.hash_fraction, share)
     }
 
     /// Returns the final refusal of a request that is not sent again, and refunds its token if it
--- a/lib/tests/mesh_lineage.rs
+++ b/lib/tests/mesh_lineage.rs
@@ -6,6 +6,7 @@
             gate::Rank,
             lineage::{ActiveRuns, Lineage, hash_fraction},
             resend::ResendBudget,
+            scarcity::Class,
         },
         time::Instant,
     },
@@ -20,6 +21,7 @@
 /// The calls of one request, and the largest number of sends of one call.
 const CALLS: usize = 5;
 const SENDS: usize = 5;
+const CLASS: Class = Class { account: 0, route: 0 };
 
 fn at(ms: u64) -> Instant {
     Instant::from_millis(ms)
@@ -81,7 +83,9 @@
             first_sends += 1;
             let mut sends = 1;
             let mut is_served = !random.random_bool(declined);
-            while !is_served && sends < SENDS && budget.try_acquire(now, fraction_of(request), 1.0)
+            while !is_served
+                && sends < SENDS
+                && budget.try_acquire(now, CLASS, fraction_of(request), 1.0)
             {
                 (sends, resent) = (sends + 1, resent + 1);
                 is_served = !random.random_bool(declined);
@@ -119,6 +123,6 @@
     for _ in 0..100 {
         budget.record_first_send(at(0), true);
     }
-    let acquired = (0..1_000).filter(|_| budget.try_acquire(at(1), 0.0, 1.0)).count();
+    let acquired = (0..1_000).filter(|_| budget.try_acquire(at(1), CLASS, 0.0, 1.0)).count();
     assert_eq!(acquired, 40, "140 per 1,000 first sends, less 100 that are repeats already");
 }
