mesh/standing: order of returning callers and hot accounts at the entry

Callers that repeat at once were queued before first attempts, like those that waited as they were told, and so were callers whose objective had passed. One account with many times its usual demand took the room of the others.

The standing of a client's request is the number that the entry node compares with the share of a scarce pool. It depends on the time that the caller has spent and on the usage of the account by its rate. It stays below 1, so that a share of 1 admits everybody. Only callers that waited go first at the gates.

Node::refuse_scarce builds the refusal with its retry delay, counts it by standing, and counts it as demand of the account, since the request has not been charged yet. Metric: monsoon_entry_refused_total.

--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -6,7 +6,7 @@
         adapter::{Directory, HeaderAdapter},
     },
     crate::clock,
-    monsoon_lib::call::Refusal,
+    monsoon_lib::{call::Refusal, mesh::standing},
     prometheus::{
         Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder,
@@ -23,6 +23,7 @@
     registry: Registry,
     answered: Histogram,
     refused: IntCounterVec,
+    entry_refused: IntCounterVec,
     sent_to_target: IntCounter,
     in_flight: IntGauge,
     waiting: IntGauge,
@@ -50,6 +51,12 @@
         let refused = Opts::new("monsoon_refused_total", "Requests without a target's answer.");
         let refused = IntCounterVec::new(refused, &["reason", "outcome"])?;
         registry.register(Box::new(refused.clone()))?;
+        let entry_refused = Opts::new(
+            "monsoon_entry_refused_total",
+            "Client requests refused since a pool below their route is scarce.",
+        );
+        let entry_refused = IntCounterVec::new(entry_refused, &["standing"])?;
+        registry.register(Box::new(entry_refused.clone()))?;
         let sent_to_target =
             IntCounter::new("monsoon_sent_total", "Requests sent to the own target.")?;
         registry.register(Box::new(sent_to_target.clone()))?;
@@ -84,6 +91,7 @@
             registry,
             answered,
             refused,
+            entry_refused,
             sent_to_target,
             in_flight,
             waiting,
@@ -128,6 +136,10 @@
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
+        for kind in standing::Kind::ALL {
+            let counter = metrics.entry_refused.with_label_values(&[kind.as_str()]);
+            counter.inc_by(dump.entry_refusals.count(kind).saturating_sub(counter.get()));
+        }
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         metrics.held_response_bytes.set(self.target.held_bytes() as i64);
         let mut text = String::new();
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -18,5 +18,6 @@
 pub mod read_schedule;
 pub mod resend;
 pub mod scarcity;
+pub mod standing;
 pub mod table;
 pub mod throttle;
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -32,9 +32,9 @@
 /// named a low limit to an earlier process of this node.
 const MAX_CALLS_BEFORE_RESPONSE: usize = 8;
 /// The shortest retry delay given to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The longest retry delay given to a refused caller.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 /// The queueing order of calls, lowest first: by rank of the account, rank of the route, earlier
 /// refusals of the caller, and a hash of the request.
@@ -44,7 +44,8 @@
     pub account: u32,
     /// The rank of the route.
     pub route: u32,
-    /// Whether this is the first attempt of the caller. Repeated attempts go first, because a
+    /// Whether this is the first attempt of the caller, or one that is queued like it because the
+    /// caller did not wait or is late. Callers that returned as they were told go first, because a
     /// second refusal is worse than a first one.
     pub is_first_attempt: bool,
     /// Breaks ties. All calls that follow from one request have the same bucket, so that under
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod dump;
+mod entry;
 mod facts;
 mod peers;
 mod weighted_round_robin;
@@ -32,6 +33,7 @@
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
+        standing,
         table::Table,
     },
     crate::{
@@ -127,6 +129,7 @@
     crash_tracker: CrashTracker,
     pool_selectors: HashMap<id::Route, WeightedRoundRobin>,
     longest_timeouts: LongestTimeouts,
+    entry_refusals: standing::Refusals,
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     gate: Gate,
@@ -159,6 +162,7 @@
             ),
             pool_selectors: HashMap::new(),
             longest_timeouts: LongestTimeouts::default(),
+            entry_refusals: standing::Refusals::default(),
             limited_targets: BTreeSet::new(),
             gate: Gate::new(0),
             own_instance: None,
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -11,6 +11,7 @@
         mesh::{
             gate::Rank,
             lineage::{self, Lineage},
+            standing,
             table::Kind,
         },
         time::Instant,
@@ -28,9 +29,6 @@
 /// The number of hash buckets that order the calls in a queue. Calls of equal rank, including the
 /// bucket, run in the order of their latency objectives.
 const HASH_BUCKETS: u8 = 16;
-/// A caller whose timeout is shorter than the longest one on the route by at least this time is
-/// taken to be retrying.
-const RETRY_DETECTION_GAP: Duration = Duration::from_millis(60);
 
 /// The longest caller timeout seen on each route. A caller that retries after a refusal has less
 /// time left.
@@ -78,13 +76,14 @@
         let spent = self.longest_timeouts.spent(&route.name, caller_timeout);
         let pool = self.pool_selectors.entry(route.name.clone()).or_default().next(&route.pools);
         let pool = pool.ok_or(Refusal::not_run(Reason::NoRoute))?;
-        let is_first_attempt = spent < RETRY_DETECTION_GAP;
+        let kind = standing::Kind::of(spent, route.objective);
+        let hash_fraction = lineage::hash_fraction(&head.request);
+        let standing = self.standing(kind, hash_fraction, account.map(|account| &account.name));
         if let Some(account) = account {
             let charged = self.rate_limiter.try_acquire(now, &account.name);
             charged.map_err(|wait| Refusal::not_run(Reason::Rate).after(wait))?;
         }
         let lineage = self.runs.parent_run(now, &head.request);
-        let hash_fraction = lineage::hash_fraction(&head.request);
         let rank = match lineage {
             // If a call fails, the work of its run is lost, so calls go before most requests of the
             // same rank.
@@ -94,7 +93,7 @@
             None => Rank {
                 account: account.map_or(0, |account| account.rank),
                 route: route.rank,
-                is_first_attempt,
+                is_first_attempt: kind.queues_as_first_attempt(),
                 hash_bucket: bucket_of(hash_fraction),
             },
         };
@@ -106,6 +105,7 @@
             route: route.clone(),
             pool,
             rank,
+            standing: lineage.is_none().then_some(standing),
             deadline: now + caller_timeout.min(route.timeout),
             arrived: now,
             attempted: Vec::new(),
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,7 +10,7 @@
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
-        mesh::{gate::Rank, scarcity::Class, table::Route},
+        mesh::{gate::Rank, scarcity::Class, standing::Standing, table::Route},
         time::Instant,
     },
     std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
@@ -61,6 +61,8 @@
     pub account: Option<id::Account>,
     /// The queueing order of the request.
     pub rank: Rank,
+    /// The order of admission if the request came from a client, and `None` for a call of a run.
+    pub standing: Option<Standing>,
     /// The time after which the caller does not wait for an answer any more.
     pub deadline: Instant,
     /// The arrival time of the request.
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::position::Position,
+        mesh::{position::Position, standing},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -35,6 +35,8 @@
     pub waiting: usize,
     /// The limit on requests per second that the local target names.
     pub target_limit: Option<f64>,
+    /// The client requests refused since a pool below their route is scarce.
+    pub entry_refusals: standing::Refusals,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
 }
@@ -53,6 +55,7 @@
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
             target_limit: self.gate.limit().map(RequestRate::per_second),
+            entry_refusals: self.entry_refusals,
             pools: self
                 .pickers
                 .iter()
--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -110,6 +110,8 @@
 pub struct RateLimiter {
     buckets: HashMap<id::Account, TokenBucket>,
     shares: Option<Shares>,
+    /// The demand of all accounts with demand and a rate, divided by the sum of their rates.
+    mean_usage: Option<f64>,
     node_count: usize,
 }
 
@@ -139,6 +141,7 @@
             (bucket.rate, bucket.burst) = (rate, account.burst);
             bucket.tokens = bucket.tokens.min(bucket.capacity());
         }
+        self.update_mean_usage();
     }
 
     /// Sets the number of nodes. Until the first answer of a coordinator, rates are split evenly.
@@ -153,6 +156,7 @@
     pub fn set_shares(&mut self, now: Instant, shares: Shares) {
         self.shares = Some(shares);
         self.apply(now);
+        self.update_mean_usage();
     }
 
     /// Takes one token from the bucket of an account. Accounts without a rate are not limited.
@@ -172,6 +176,28 @@
         Err(Duration::from_secs_f64(wait_s).min(MAX_RETRY_AFTER))
     }
 
+    /// Counts a request that is refused before its token is taken, so that the demand of the account
+    /// includes it.
+    pub fn record_refused(&mut self, account: &id::Account) {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.requests += 1;
+        }
+    }
+
+    /// Returns the demand of an account at all nodes, divided by its sold rate. `None` if it has no
+    /// rate or no demand at this node, or the coordinator has not answered yet.
+    pub fn usage(&self, account: &id::Account) -> Option<f64> {
+        let demand = self.shares.as_ref()?.by_account.get(account)?.demand;
+        let rate = self.buckets.get(account)?.rate;
+        (rate.0 > 0).then(|| f64::from(demand) / rate.0 as f64)
+    }
+
+    /// Returns the same ratio over all accounts with demand at this node: the sum of their demands,
+    /// divided by the sum of their rates.
+    pub fn mean_usage(&self) -> Option<f64> {
+        self.mean_usage
+    }
+
     /// Returns the token of a request that did not run to the bucket.
     pub fn refund(&mut self, account: &id::Account) {
         if let Some(bucket) = self.buckets.get_mut(account) {
@@ -208,6 +234,17 @@
         }
     }
 
+    fn update_mean_usage(&mut self) {
+        let by_account = self.shares.iter().flat_map(|shares| &shares.by_account);
+        let with_rate = by_account.filter_map(|(account, share)| {
+            let rate = self.buckets.get(account).map(|bucket| bucket.rate.0 as f64)?;
+            (rate > 0.0).then(|| (f64::from(share.demand), rate))
+        });
+        let (demand, rate) = with_rate
+            .fold((0.0, 0.0), |(demands, rates), (demand, rate)| (demands + demand, rates + rate));
+        self.mean_usage = (rate > 0.0).then(|| demand / rate);
+    }
+
     fn apply(&mut self, now: Instant) {
         let fractions: Vec<(id::Account, f64)> =
             self.buckets.keys().map(|name| (name.clone(), self.fraction_for(name))).collect();
