mesh: refuse client requests at the entry that a pool below cannot carry

The gate of each target feeds the meter. Requests carry the share at which they were admitted, and whether they are resent, in Supplement::Run. Responses carry the loads of the own pool and of those below the route in Supplement::RunFinished, if they are under pressure. Node::admit tests client requests before the account is charged.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -14,6 +14,7 @@
 mod process;
 mod relay;
 mod replication;
+mod scarcity;
 mod socket;
 mod sync;
 mod target;
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -3,7 +3,7 @@
 use {
     monsoon_lib::{
         id,
-        mesh::{cold, position::Era, scarcity::PoolLoad},
+        mesh::{cold, node::ForwardedRequest, position::Era, scarcity::PoolLoad},
         pressure::Share,
         unit::Revision,
     },
@@ -18,6 +18,8 @@
     Run {
         /// The share of its class at which the client's request was admitted.
         admitted: Share,
+        /// Whether a target of the pool refused or declined the request before.
+        is_resend: bool,
     },
     /// Completes `PeerResponse::RunFinished`.
     RunFinished {
@@ -59,6 +61,33 @@
 }
 
 impl Supplement {
+    /// Returns what a forwarded request lacks. In calm it lacks nothing, so that nothing is added.
+    pub fn of_run(forwarded: &ForwardedRequest) -> Option<Self> {
+        let ForwardedRequest { admitted, is_resend, .. } = *forwarded;
+        (admitted != Share::ALL || is_resend).then_some(Self::Run { admitted, is_resend })
+    }
+
+    /// Completes a forwarded request that was received with this supplement, if any.
+    pub fn complete_run(supplement: Option<&Self>, forwarded: &mut ForwardedRequest) {
+        if let Some(Self::Run { admitted, is_resend }) = supplement {
+            forwarded.admitted = *admitted;
+            forwarded.is_resend = *is_resend;
+        }
+    }
+
+    /// Returns what a response to a run carries beyond its message.
+    pub fn of_loads(loads: Vec<PoolLoad>) -> Option<Self> {
+        (!loads.is_empty()).then_some(Self::RunFinished { loads })
+    }
+
+    /// Returns the loads that came with a response to a run.
+    pub fn into_loads(self) -> Vec<PoolLoad> {
+        match self {
+            Self::RunFinished { loads } => loads,
+            Self::Run { .. } | Self::Facts { .. } => Vec::new(),
+        }
+    }
+
     /// Decodes a supplement. Returns `None` if there is none, or if it is of a kind that only later
     /// versions know.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
@@ -94,7 +123,7 @@
     /// A message keeps its supplement also without an extension.
     #[actix_web::test]
     async fn round_trip() {
-        let supplement = Supplement::Run { admitted: Share(51) };
+        let supplement = Supplement::Run { admitted: Share(51), is_resend: true };
         let attachments = Attachments { extension: None, supplement: Some(&supplement) };
         let frame = encode_with(7, PeerRequest::Ping, attachments, Bytes::new());
         let received = decode(frame.expect("the frame is small").head).await;
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -4,9 +4,10 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        scarcity,
     },
     crate::clock,
-    monsoon_lib::call::Refusal,
+    monsoon_lib::{call::Refusal, id},
     prometheus::{
         Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder,
@@ -31,6 +32,8 @@
     facts_revision: IntGauge,
     store_revision: IntGauge,
     target_limit: Gauge,
+    entry_refused: IntCounterVec,
+    pool_loads: scarcity::Gauges,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -80,6 +83,11 @@
             "monsoon_held_response_bytes",
             "Bytes of response bodies that are being received.",
         )?;
+        let entry_refused =
+            Opts::new("monsoon_entry_refused_total", "Requests refused for a pool below.");
+        let entry_refused = IntCounterVec::new(entry_refused, &["pool"])?;
+        registry.register(Box::new(entry_refused.clone()))?;
+        let pool_loads = scarcity::Gauges::new(&registry)?;
         Ok(Self {
             registry,
             answered,
@@ -92,6 +100,8 @@
             facts_revision,
             store_revision,
             target_limit,
+            entry_refused,
+            pool_loads,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -108,6 +118,11 @@
         self.sent_to_target.inc();
     }
 
+    /// Counts a client's request that was refused because a pool below its route cannot carry it.
+    pub fn refused_at_entry(&self, pool: &id::Pool) {
+        self.entry_refused.with_label_values(&[pool.as_str()]).inc();
+    }
+
     /// Counts a refusal by its reason and outcome.
     pub fn refused(&self, refusal: &Refusal) {
         let labels = [refusal.reason.as_str(), refusal.outcome.as_str()];
@@ -127,6 +142,7 @@
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
+        metrics.pool_loads.set(&dump.loads);
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         metrics.held_response_bytes.set(self.target.held_bytes() as i64);
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -16,9 +16,10 @@
         call::{Reason, Refusal},
         id,
         mesh::{
+            demand::Origin,
             gate::{Decision, Release},
             lineage::Lineage,
-            node::ForwardedRequest,
+            node::{ForwardedRequest, RunEnd},
         },
         time::Instant,
         unit::RequestRate,
@@ -36,6 +37,10 @@
     is_running: bool,
     has_answer: bool,
     is_broken: bool,
+    origin: Origin,
+    /// Whether the request was sent to the target.
+    is_sent: bool,
+    is_declined: bool,
 }
 
 impl<H: HeaderAdapter, D: Directory> Drop for SlotGuard<H, D> {
@@ -48,6 +53,13 @@
             if self.is_running {
                 node.runs().end(&self.request);
             }
+            if self.is_sent {
+                let end = match self.is_declined {
+                    true => RunEnd::Declined,
+                    false => RunEnd::Ran(now - self.started),
+                };
+                node.record_run_end(now, &self.origin, end);
+            }
             if !self.is_broken {
                 node.crash_tracker().call_ended(now, self.call, self.has_answer);
             }
@@ -93,8 +105,13 @@
             return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
         }
         let call = self.next_call_id();
-        let decision =
-            self.node.borrow_mut().gate().offer(now, call, &forwarded.admission_request(now));
+        let origin = forwarded.origin();
+        let decision = {
+            let mut node = self.node.borrow_mut();
+            let decision = node.gate().offer(now, call, &forwarded.admission_request(now));
+            node.record_arrival(now, &origin, decision);
+            decision
+        };
         let mut slot = SlotGuard {
             mesh: self.clone(),
             call,
@@ -103,6 +120,9 @@
             is_running: false,
             has_answer: false,
             is_broken: false,
+            origin,
+            is_sent: false,
+            is_declined: false,
         };
         match decision {
             Decision::Run => {}
@@ -117,12 +137,18 @@
             return Err(RunResult::Refused(refusal));
         }
         self.node.borrow_mut().crash_tracker().call_started(call, forwarded.fingerprint);
-        let lineage = Lineage { rank: forwarded.rank, is_repeat: forwarded.is_repeat };
+        let lineage = Lineage {
+            rank: forwarded.rank,
+            is_repeat: forwarded.is_repeat,
+            admitted: forwarded.admitted,
+            route: forwarded.route.clone(),
+        };
         self.node.borrow_mut().runs().start(&forwarded.request, lineage);
         slot.started = clock::now();
         let remaining = forwarded.remaining.saturating_sub(slot.started - now);
         let forwarded = ForwardedRequest { remaining, ..forwarded.clone() };
         self.metrics.sent_to_target();
+        slot.is_sent = true;
         let exchange = self
             .target
             .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
@@ -133,6 +159,7 @@
             self.record_announcement(&forwarded.target, fields);
         }
         slot.is_broken = matches!(exchange, ExchangeResult::MayHaveRun(Reason::Broken, _));
+        slot.is_declined = matches!(exchange, ExchangeResult::Declined { .. });
         match exchange {
             ExchangeResult::Answered { has_failed, answer } => {
                 slot.has_answer = true;
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -7,6 +7,7 @@
         buffer::Reservation,
         frame::{
             self, Attachments, Envelope, Frame, PeerRequest, PeerResponse, Received, RunResult,
+            Supplement,
         },
         link,
         replication::{self, Query},
@@ -16,6 +17,7 @@
     bytes::{Bytes, BytesMut},
     monsoon_lib::{
         call::{Reason, Refusal},
+        mesh::node::ForwardedRequest,
         time::Instant,
     },
     std::{cell::RefCell, collections::HashMap, net::IpAddr, rc::Rc, time::Duration},
@@ -95,7 +97,7 @@
     link: &Rc<PeerLink<H, D>>,
     received: Received<PeerRequest>,
 ) {
-    let Received { envelope, extension, body, .. } = received;
+    let Received { envelope, extension, supplement, body } = received;
     let Envelope { number, message: peer_request } = envelope;
     let mesh = &link.mesh;
     let now = clock::now();
@@ -126,7 +128,8 @@
                 Bytes::new(),
             );
         }
-        PeerRequest::Run { forwarded, method, target, fields } => {
+        PeerRequest::Run { mut forwarded, method, target, fields } => {
+            Supplement::complete_run(supplement.as_ref(), &mut forwarded);
             let mut reservation = mesh.buffer.reservation();
             if let Err(full) = reservation.grow(body.len()) {
                 let request = forwarded.request.as_str();
@@ -180,7 +183,18 @@
 }
 
 fn send_response<H, D>(link: &PeerLink<H, D>, number: u64, message: PeerResponse, body: Bytes) {
-    match frame::encode(number, message, body) {
+    send_response_with(link, number, message, None, body);
+}
+
+fn send_response_with<H, D>(
+    link: &PeerLink<H, D>,
+    number: u64,
+    message: PeerResponse,
+    supplement: Option<&Supplement>,
+    body: Bytes,
+) {
+    let attachments = Attachments { extension: None, supplement };
+    match frame::encode_with(number, message, attachments, body) {
         // If the link broke meanwhile, nobody waits for the response.
         Ok(frame) => drop(link.frames.send(frame)),
         Err(error) => log::warn!(host:% = link.host, error:% = error; "failed to encode response"),
@@ -190,23 +204,23 @@
 async fn handle_run<H: HeaderAdapter, D: Directory>(
     link: Rc<PeerLink<H, D>>,
     number: u64,
-    forwarded: monsoon_lib::mesh::node::ForwardedRequest,
+    mut forwarded: ForwardedRequest,
     request: Rc<Request>,
     _reservation: Reservation,
 ) {
     let _open_request = link.mesh.track_request();
+    forwarded.route = link.mesh.find_route(&request);
     let (result, body) = link.mesh.run_locally(&forwarded, &request).await;
     link.runs.borrow_mut().remove(&number);
-    let response = {
+    let (response, supplement) = {
         let mut node = link.mesh.node.borrow_mut();
-        let load = Some(node.gate().report(clock::now()));
-        PeerResponse::RunFinished {
-            result,
-            load,
-            is_traced: node.runs().has_traced_locally(clock::now()),
-        }
+        let now = clock::now();
+        let load = Some(node.gate().report(now));
+        let loads = node.reported_loads(now, forwarded.route.as_ref());
+        let is_traced = node.runs().has_traced_locally(now);
+        (PeerResponse::RunFinished { result, load, is_traced }, Supplement::of_loads(loads))
     };
-    send_response(&link, number, response, body);
+    send_response_with(&link, number, response, supplement.as_ref(), body);
 }
 
 async fn handle_facts<H: HeaderAdapter, D: Directory>(
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -4,8 +4,8 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        frame::{PeerRequest, PeerResponse, RunResult},
-        link,
+        frame::{Attachments, PeerRequest, PeerResponse, RunResult, Supplement},
+        link::{self, Response},
     },
     crate::{
         clock,
@@ -14,7 +14,11 @@
     bytes::Bytes,
     monsoon_lib::{
         call::{Reason, Refusal},
-        mesh::node::{Attempt, AttemptResult, Call, Head, NextStep},
+        id,
+        mesh::{
+            node::{Attempt, AttemptResult, Call, ForwardedRequest, Head, NextStep},
+            scarcity::PoolLoad,
+        },
         time::Instant,
     },
     std::rc::Rc,
@@ -60,7 +64,11 @@
         let mut call = match admitted {
             Ok(call) => call,
             Err(refusal) => {
-                self.log_refusal(head, &refusal, None);
+                let pool = self.node.borrow_mut().take_refusing_pool();
+                if let Some(pool) = &pool {
+                    self.metrics.refused_at_entry(pool);
+                }
+                self.log_refusal(head, &refusal, None, pool.as_ref());
                 return Reply::Refused(refusal);
             }
         };
@@ -97,7 +105,7 @@
         if let Some(answer) = failure {
             return Reply::Answer(answer);
         }
-        self.log_refusal(head, &refusal, Some(call));
+        self.log_refusal(head, &refusal, Some(call), None);
         Reply::Refused(refusal)
     }
 
@@ -111,13 +119,22 @@
         let forwarded = self.node.borrow().forwarded_request(started, call, &attempt);
         let mut in_flight =
             InFlightAttempt { mesh: self, call, attempt, started, is_complete: false };
-        let (result, body) = match in_flight.attempt.is_own {
-            true => self.run_locally(&forwarded, request).await,
+        let (result, body, loads) = match in_flight.attempt.is_own {
+            true => {
+                let (result, body) = self.run_locally(&forwarded, request).await;
+                let mut node = self.node.borrow_mut();
+                let loads = node.reported_loads(clock::now(), forwarded.route.as_ref());
+                (result, body, Some(loads))
+            }
             false => self.run_on_peer(&in_flight.attempt, forwarded, request).await,
         };
         in_flight.is_complete = true;
         let now = clock::now();
         let attempt_result = to_attempt_result(&result);
+        if let Some(loads) = loads {
+            let mut node = self.node.borrow_mut();
+            node.record_reported_loads(now, in_flight.call, attempt_result, &loads);
+        }
         let next = self.node.borrow_mut().finish_attempt(
             now,
             in_flight.call,
@@ -139,20 +156,31 @@
         (next, result, body)
     }
 
+    /// Runs a request on a peer's target. Returns the result, the body of the response, and the loads
+    /// of pools if the peer's gate decided on the request.
     async fn run_on_peer(
         &self,
         attempt: &Attempt,
-        forwarded: monsoon_lib::mesh::node::ForwardedRequest,
+        forwarded: ForwardedRequest,
         request: &Request,
-    ) -> (RunResult, Bytes) {
+    ) -> (RunResult, Bytes, Option<Vec<PoolLoad>>) {
+        let supplement = Supplement::of_run(&forwarded);
         let run = PeerRequest::Run {
             forwarded,
             method: request.method.clone(),
             target: request.target.clone(),
             fields: request.fields.clone(),
         };
-        match self.links.request(attempt.host, run, request.body.clone()).await {
-            Ok((PeerResponse::RunFinished { result, load, is_traced }, body)) => {
+        let attachments = Attachments { extension: None, supplement: supplement.as_ref() };
+        let response =
+            self.links.request_with(attempt.host, run, attachments, request.body.clone()).await;
+        match response {
+            Ok(Response {
+                message: PeerResponse::RunFinished { result, load, is_traced },
+                supplement,
+                body,
+                ..
+            }) => {
                 if let RunResult::Answered { fields, .. } = &result {
                     self.record_announcement(&attempt.target, fields);
                 }
@@ -165,14 +193,15 @@
                 if is_traced {
                     node.runs().record_remote_trace(now);
                 }
-                if let Some(load) = load {
-                    node.record_load(now, &attempt.target, &load);
+                if let Some(load) = &load {
+                    node.record_load(now, &attempt.target, load);
                 }
-                (result, body)
+                let loads = load.map(|_| supplement.map_or(Vec::new(), Supplement::into_loads));
+                (result, body, loads)
             }
             Ok(_) => {
                 log::warn!(host:% = attempt.host; "unexpected type of response from a peer");
-                (RunResult::MayHaveRun(Reason::Broken), Bytes::new())
+                (RunResult::MayHaveRun(Reason::Broken), Bytes::new(), None)
             }
             Err(error) => {
                 self.mark_peer_unreachable(attempt.host, &error.to_string());
@@ -182,13 +211,20 @@
                     }
                     link::Error::Broken(_) => RunResult::MayHaveRun(Reason::Broken),
                 };
-                (result, Bytes::new())
+                (result, Bytes::new(), None)
             }
         }
     }
 
-    /// Logs a refusal with the beliefs of the node that decided it.
-    pub fn log_refusal(&self, head: &Head, refusal: &Refusal, call: Option<&Call>) {
+    /// Logs a refusal with the beliefs of the node that decided it. `pool` is the pool that cannot
+    /// carry the request, if it was refused for that at the entry.
+    pub fn log_refusal(
+        &self,
+        head: &Head,
+        refusal: &Refusal,
+        call: Option<&Call>,
+        pool: Option<&id::Pool>,
+    ) {
         let node = self.node.borrow();
         let now = clock::now();
         let age = node.lease().age(now).map(|age| age.as_millis() as u64);
@@ -205,6 +241,7 @@
             retry_after_ms = wait,
             route,
             account,
+            pool = pool.map(id::Pool::as_str),
             tables = revision,
             confirmed_age_ms = age;
             "refused"
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -148,6 +148,16 @@
         self.throttle.map(|throttle| throttle.limit())
     }
 
+    /// Returns the number of calls that may run at once.
+    pub fn concurrency_limit(&self) -> usize {
+        self.slots
+    }
+
+    /// Returns the limit on the calls that may start per second, if there is one.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.limit()
+    }
+
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
         if self.queue.is_empty() && self.try_start(now) {
--- a/lib/src/mesh/lineage.rs
+++ b/lib/src/mesh/lineage.rs
@@ -6,7 +6,7 @@
 
 use {
     super::gate::Rank,
-    crate::time::Instant,
+    crate::{id, pressure::Share, time::Instant},
     std::{
         collections::HashMap,
         hash::{Hash as _, Hasher as _},
@@ -31,12 +31,16 @@
 }
 
 /// The properties that a call inherits from the run that makes it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Lineage {
     /// The admission rank of the run.
     pub rank: Rank,
     /// Whether the run repeats an earlier one, directly or through a repeated parent.
     pub is_repeat: bool,
+    /// The share at which the client's request was admitted.
+    pub admitted: Share,
+    /// The route of the run, if this node knows it.
+    pub route: Option<id::Route>,
 }
 
 /// The active runs of the local target, by request id.
@@ -61,7 +65,7 @@
     /// Returns the lineage of the run that makes the call with this id, if it is active.
     pub fn parent_run(&mut self, now: Instant, call: &str) -> Option<Lineage> {
         let (run, _) = call.rsplit_once(SEPARATOR)?;
-        let lineage = self.runs.get(run).copied();
+        let lineage = self.runs.get(run).cloned();
         if lineage.is_some() {
             self.last_local_trace = Some(now);
         }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod facts;
 mod peers;
+mod scarcity;
 mod weighted_round_robin;
 
 pub use {
@@ -18,11 +19,13 @@
     dump::Dump,
     facts::Changes,
     peers::{Peer, Source},
+    scarcity::RunEnd,
 };
 
 use {
     super::{
         announcement::{Announcement, Limit},
+        demand::Meter,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -32,6 +35,7 @@
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
+        scarcity::Tracker,
         table::Table,
     },
     crate::{
@@ -82,6 +86,9 @@
     pub resend_permille: u32,
     /// The window over which resends are counted.
     pub resend_window: Duration,
+    /// Whether client requests are refused at the entry while a pool below their route cannot carry
+    /// them. The loads that this needs are then exchanged with other nodes.
+    pub is_entry_admission_enabled: bool,
 }
 
 /// The reasons why a node is not ready for requests of callers.
@@ -130,6 +137,10 @@
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     gate: Gate,
+    meter: Meter,
+    tracker: Tracker,
+    /// The pool for which the last request was refused at the entry, until the driver takes it.
+    refusing_pool: Option<id::Pool>,
     /// The name and start of the local target that the gate is for.
     own_instance: Option<(id::Vm, u64)>,
     rate_limiter: RateLimiter,
@@ -161,6 +172,9 @@
             longest_timeouts: LongestTimeouts::default(),
             limited_targets: BTreeSet::new(),
             gate: Gate::new(0),
+            meter: Meter::default(),
+            tracker: Tracker::default(),
+            refusing_pool: None,
             own_instance: None,
             rate_limiter: RateLimiter::default(),
             coordinator: Coordinator::default(),
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -11,6 +11,7 @@
         mesh::{
             gate::Rank,
             lineage::{self, Lineage},
+            scarcity::{Class, Path},
             table::Kind,
         },
         time::Instant,
@@ -79,17 +80,26 @@
         let pool = self.pool_selectors.entry(route.name.clone()).or_default().next(&route.pools);
         let pool = pool.ok_or(Refusal::not_run(Reason::NoRoute))?;
         let is_first_attempt = spent < RETRY_DETECTION_GAP;
+        let lineage = self.runs.parent_run(now, &head.request);
+        let hash_fraction = lineage::hash_fraction(&head.request);
+        let admitted = match &lineage {
+            Some(lineage) => self.record_call(now, lineage, &route.name),
+            None => {
+                let class = Class { account: account.map_or(0, |a| a.rank), route: route.rank };
+                let standing = hash_fraction;
+                self.test_entry(now, Path { route: &route.name, pool: &pool }, class, standing)
+                    .map_err(|scarce| scarce.refusal(now, hash_fraction))?
+            }
+        };
         if let Some(account) = account {
             let charged = self.rate_limiter.try_acquire(now, &account.name);
             charged.map_err(|wait| Refusal::not_run(Reason::Rate).after(wait))?;
         }
-        let lineage = self.runs.parent_run(now, &head.request);
-        let hash_fraction = lineage::hash_fraction(&head.request);
-        let rank = match lineage {
+        let rank = match &lineage {
             // If a call fails, the work of its run is lost, so calls go before most requests of the
             // same rank.
             Some(Lineage { rank, .. }) => {
-                Rank { hash_bucket: bucket_of(hash_fraction) / 2, ..rank }
+                Rank { hash_bucket: bucket_of(hash_fraction) / 2, ..*rank }
             }
             None => Rank {
                 account: account.map_or(0, |account| account.rank),
@@ -115,6 +125,8 @@
             is_repeat,
             fingerprint,
             hash_fraction,
+            admitted,
+            is_resend: false,
         })
     }
 }
--- a/lib/src/mesh/node/attempt.rs
+++ b/lib/src/mesh/node/attempt.rs
@@ -4,7 +4,11 @@
     crate::{
         call::{Reason, Refusal},
         id,
-        mesh::gate::{AdmissionRequest, Rank},
+        mesh::{
+            demand::Origin,
+            gate::{AdmissionRequest, Rank},
+        },
+        pressure::Share,
         time::Instant,
     },
     serde::{Deserialize, Serialize},
@@ -114,6 +118,21 @@
     pub objective: Duration,
     /// The time left until the deadline.
     pub remaining: Duration,
+    /// The share at which the client's request was admitted. Like the following fields it is not
+    /// part of the message between nodes, whose layout is fixed.
+    #[serde(skip, default = "all")]
+    pub admitted: Share,
+    /// Whether a target of the pool refused or declined the request before.
+    #[serde(skip)]
+    pub is_resend: bool,
+    /// The route that the request matches, if this node knows it.
+    #[serde(skip)]
+    pub route: Option<id::Route>,
+}
+
+/// Returns the share of requests from nodes that do not state one.
+fn all() -> Share {
+    Share::ALL
 }
 
 impl ForwardedRequest {
@@ -125,4 +144,9 @@
             deadline: now + self.remaining,
         }
     }
+
+    /// Returns the input for the meter of the target.
+    pub fn origin(&self) -> Origin {
+        Origin { class: self.rank.into(), admitted: self.admitted, is_resend: self.is_resend }
+    }
 }
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -11,6 +11,7 @@
         id,
         key::Digest,
         mesh::{gate::Rank, table::Route},
+        pressure::Share,
         time::Instant,
     },
     std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
@@ -78,6 +79,10 @@
     pub(super) fingerprint: u64,
     /// The hash of the client's request that the call follows from, as a number between 0 and 1.
     pub(super) hash_fraction: f64,
+    /// The share at which the client's request was admitted.
+    pub(super) admitted: Share,
+    /// Whether the last attempt reached the gate of a target, which counted it, and did not run.
+    pub(super) is_resend: bool,
 }
 
 impl Node {
@@ -155,6 +160,9 @@
             fingerprint: call.fingerprint,
             objective: call.route.objective.saturating_sub(now - call.arrived),
             remaining: attempt.remaining,
+            admitted: call.admitted,
+            is_resend: call.is_resend,
+            route: Some(call.route.name.clone()),
         }
     }
 
@@ -185,6 +193,13 @@
         if let Some(picker) = self.pickers.get_mut(&call.pool) {
             picker.call_finished(now, &attempt.target, call_result_of(result), latency);
         }
+        call.is_resend = match result {
+            // No gate has counted this attempt.
+            AttemptResult::Refused(refusal) if refusal.reason != Reason::Overload => call.is_resend,
+            AttemptResult::Refused(_) | AttemptResult::Declined(_) => true,
+            // A repeated run is further demand.
+            AttemptResult::Answered { .. } | AttemptResult::Lost(_) => false,
+        };
         match result {
             AttemptResult::Answered { has_failed } => {
                 call.possible_runs += 1;
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::position::Position,
+        mesh::{position::Position, scarcity::PoolState},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -37,6 +37,8 @@
     pub target_limit: Option<f64>,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
+    /// The latest reported loads of pools under pressure.
+    pub loads: BTreeMap<id::Pool, PoolState>,
 }
 
 impl Node {
@@ -53,6 +55,7 @@
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
             target_limit: self.gate.limit().map(RequestRate::per_second),
+            loads: self.pool_states(now),
             pools: self
                 .pickers
                 .iter()
--- a/lib/tests/mesh_lineage.rs
+++ b/lib/tests/mesh_lineage.rs
@@ -7,6 +7,7 @@
             lineage::{ActiveRuns, Lineage, hash_fraction},
             resend::ResendBudget,
         },
+        pressure::Share,
         time::Instant,
     },
     rand::{RngExt as _, SeedableRng as _},
@@ -29,6 +30,8 @@
     Lineage {
         rank: Rank { account: 3, route: 2, is_first_attempt: true, hash_bucket: 7 },
         is_repeat: true,
+        admitted: Share(51),
+        route: Some("views".parse().expect("a name")),
     }
 }
 
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -88,6 +88,7 @@
         drain: Duration::from_secs(2),
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
+        is_entry_admission_enabled: false,
     };
     let mut node = Node::new(settings, 1);
     let position = |revision| Position::new(Era(1), Revision(revision));
--- a/lib/tests/store_eras.rs
+++ b/lib/tests/store_eras.rs
@@ -151,6 +151,7 @@
         drain: Duration::from_secs(2),
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
+        is_entry_admission_enabled: false,
     };
     Node::new(settings, seed)
 }
