--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -4,9 +4,10 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        scarcity,
     },
     crate::clock,
-    monsoon_lib::{call::Refusal, mesh::standing},
+    monsoon_lib::{call::Refusal, id, mesh::standing},
     prometheus::{
         Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder,
@@ -23,7 +24,7 @@
     registry: Registry,
     answered: Histogram,
     refused: IntCounterVec,
-    entry_refused: IntCounterVec,
+    refused_by_standing: IntCounterVec,
     sent_to_target: IntCounter,
     in_flight: IntGauge,
     waiting: IntGauge,
@@ -32,6 +33,8 @@
     facts_revision: IntGauge,
     store_revision: IntGauge,
     target_limit: Gauge,
+    entry_refused: IntCounterVec,
+    pool_loads: scarcity::Gauges,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -51,12 +54,12 @@
         let refused = Opts::new("monsoon_refused_total", "Requests without a target's answer.");
         let refused = IntCounterVec::new(refused, &["reason", "outcome"])?;
         registry.register(Box::new(refused.clone()))?;
-        let entry_refused = Opts::new(
-            "monsoon_entry_refused_total",
-            "Client requests refused since a pool below their route is scarce.",
+        let refused_by_standing = Opts::new(
+            "monsoon_entry_refused_by_standing_total",
+            "Requests refused for a pool below, by how their callers came to send them.",
         );
-        let entry_refused = IntCounterVec::new(entry_refused, &["standing"])?;
-        registry.register(Box::new(entry_refused.clone()))?;
+        let refused_by_standing = IntCounterVec::new(refused_by_standing, &["standing"])?;
+        registry.register(Box::new(refused_by_standing.clone()))?;
         let sent_to_target =
             IntCounter::new("monsoon_sent_total", "Requests sent to the own target.")?;
         registry.register(Box::new(sent_to_target.clone()))?;
@@ -87,11 +90,16 @@
             "monsoon_held_response_bytes",
             "Bytes of response bodies that are being received.",
         )?;
+        let entry_refused =
+            Opts::new("monsoon_entry_refused_total", "Requests refused for a pool below.");
+        let entry_refused = IntCounterVec::new(entry_refused, &["pool"])?;
+        registry.register(Box::new(entry_refused.clone()))?;
+        let pool_loads = scarcity::Gauges::new(&registry)?;
         Ok(Self {
             registry,
             answered,
             refused,
-            entry_refused,
+            refused_by_standing,
             sent_to_target,
             in_flight,
             waiting,
@@ -100,6 +108,8 @@
             facts_revision,
             store_revision,
             target_limit,
+            entry_refused,
+            pool_loads,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -116,6 +126,11 @@
         self.sent_to_target.inc();
     }
 
+    /// Counts a client's request that was refused because a pool below its route cannot carry it.
+    pub fn refused_at_entry(&self, pool: &id::Pool) {
+        self.entry_refused.with_label_values(&[pool.as_str()]).inc();
+    }
+
     /// Counts a refusal by its reason and outcome.
     pub fn refused(&self, refusal: &Refusal) {
         let labels = [refusal.reason.as_str(), refusal.outcome.as_str()];
@@ -135,9 +150,10 @@
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
+        metrics.pool_loads.set(&dump.loads);
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         for kind in standing::Kind::ALL {
-            let counter = metrics.entry_refused.with_label_values(&[kind.as_str()]);
+            let counter = metrics.refused_by_standing.with_label_values(&[kind.as_str()]);
             counter.inc_by(dump.entry_refusals.count(kind).saturating_sub(counter.get()));
         }
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod facts;
 mod peers;
+mod scarcity;
 mod weighted_round_robin;
 
 pub use {
@@ -19,11 +20,13 @@
     dump::Dump,
     facts::Changes,
     peers::{Peer, Source},
+    scarcity::RunEnd,
 };
 
 use {
     super::{
         announcement::{Announcement, Limit},
+        demand::Meter,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -33,6 +36,7 @@
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
+        scarcity::Tracker,
         standing,
         table::Table,
     },
@@ -84,6 +88,9 @@
     pub resend_permille: u32,
     /// The window over which resends are counted.
     pub resend_window: Duration,
+    /// Whether client requests are refused at the entry while a pool below their route cannot carry
+    /// them. The loads that this needs are then exchanged with other nodes.
+    pub is_entry_admission_enabled: bool,
 }
 
 /// The reasons why a node is not ready for requests of callers.
@@ -133,6 +140,10 @@
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     gate: Gate,
+    meter: Meter,
+    tracker: Tracker,
+    /// The pool for which the last request was refused at the entry, until the driver takes it.
+    refusing_pool: Option<id::Pool>,
     /// The name and start of the local target that the gate is for.
     own_instance: Option<(id::Vm, u64)>,
     rate_limiter: RateLimiter,
@@ -165,6 +176,9 @@
             entry_refusals: standing::Refusals::default(),
             limited_targets: BTreeSet::new(),
             gate: Gate::new(0),
+            meter: Meter::default(),
+            tracker: Tracker::default(),
+            refusing_pool: None,
             own_instance: None,
             rate_limiter: RateLimiter::default(),
             coordinator: Coordinator::default(),
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -11,6 +11,7 @@
         mesh::{
             gate::Rank,
             lineage::{self, Lineage},
+            scarcity::{Class, Path},
             standing,
             table::Kind,
         },
@@ -77,18 +78,31 @@
         let pool = self.pool_selectors.entry(route.name.clone()).or_default().next(&route.pools);
         let pool = pool.ok_or(Refusal::not_run(Reason::NoRoute))?;
         let kind = standing::Kind::of(spent, route.objective);
+        let lineage = self.runs.parent_run(now, &head.request);
         let hash_fraction = lineage::hash_fraction(&head.request);
-        let standing = self.standing(kind, hash_fraction, account.map(|account| &account.name));
+        let account_name = account.map(|account| &account.name);
+        let (standing, admitted) = match &lineage {
+            Some(lineage) => (None, self.record_call(now, lineage, &route.name)),
+            None => {
+                let standing = self.standing(kind, hash_fraction, account_name);
+                let class = Class { account: account.map_or(0, |a| a.rank), route: route.rank };
+                let path = Path { route: &route.name, pool: &pool };
+                let tested = self.test_entry(now, path, class, standing.value());
+                let admitted = tested.map_err(|scarce| {
+                    self.refuse_scarce(now, scarce.since, kind, hash_fraction, account_name)
+                })?;
+                (Some(standing), admitted)
+            }
+        };
         if let Some(account) = account {
             let charged = self.rate_limiter.try_acquire(now, &account.name);
             charged.map_err(|wait| Refusal::not_run(Reason::Rate).after(wait))?;
         }
-        let lineage = self.runs.parent_run(now, &head.request);
-        let rank = match lineage {
+        let rank = match &lineage {
             // If a call fails, the work of its run is lost, so calls go before most requests of the
             // same rank.
             Some(Lineage { rank, .. }) => {
-                Rank { hash_bucket: bucket_of(hash_fraction) / 2, ..rank }
+                Rank { hash_bucket: bucket_of(hash_fraction) / 2, ..*rank }
             }
             None => Rank {
                 account: account.map_or(0, |account| account.rank),
@@ -105,7 +119,7 @@
             route: route.clone(),
             pool,
             rank,
-            standing: lineage.is_none().then_some(standing),
+            standing,
             deadline: now + caller_timeout.min(route.timeout),
             arrived: now,
             attempted: Vec::new(),
@@ -115,6 +129,8 @@
             is_repeat,
             fingerprint,
             hash_fraction,
+            admitted,
+            is_resend: false,
         })
     }
 }
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::{position::Position, standing},
+        mesh::{position::Position, scarcity::PoolState, standing},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -39,6 +39,8 @@
     pub entry_refusals: standing::Refusals,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
+    /// The latest reported loads of pools under pressure.
+    pub loads: BTreeMap<id::Pool, PoolState>,
 }
 
 impl Node {
@@ -56,6 +58,7 @@
             waiting: self.gate.waiting(),
             target_limit: self.gate.limit().map(RequestRate::per_second),
             entry_refusals: self.entry_refusals,
+            loads: self.pool_states(now),
             pools: self
                 .pickers
                 .iter()
--- a/lib/tests/mesh_lineage.rs
+++ b/lib/tests/mesh_lineage.rs
@@ -8,6 +8,7 @@
             resend::ResendBudget,
             scarcity::Class,
         },
+        pressure::Share,
         time::Instant,
     },
     rand::{RngExt as _, SeedableRng as _},
@@ -31,6 +32,8 @@
     Lineage {
         rank: Rank { account: 3, route: 2, is_first_attempt: true, hash_bucket: 7 },
         is_repeat: true,
+        admitted: Share(51),
+        route: Some("views".parse().expect("a name")),
     }
 }
 
