announcement: load and pace that targets name in responses

Targets say in X-Server-Load how many requests run and wait, their slots, and on some deployments how long work takes on their machine at the moment. The header was not read. It is decoded into Announcement::load; a malformed one counts as absent, a pace of 0 or above 10,000 as none.

--- a/lib/tests/closed_target.rs
+++ b/lib/tests/closed_target.rs
@@ -17,7 +17,7 @@
 /// The longest allowed time from a target's notice to its last request.
 const DRAIN: Duration = Duration::from_secs(2);
 
-const LEAVING: Announcement = Announcement { is_leaving: true, limit: Limit::None };
+const LEAVING: Announcement = Announcement { is_leaving: true, limit: Limit::None, load: None };
 
 fn at(ms: u64) -> Instant {
     Instant::from_millis(10_000 + ms)
