gate, balance: placement by pace, concurrency limit below a knee

A moving average follows a target that becomes 2.5 times slower for 600 ms too late. The node beside the target now averages the time of calls at the usual pace and reports it multiplied by the pace that the target named last. Nodes that send calls use the latency in fresh reports for pools whose targets name a pace; they see that in the end-to-end fields of responses, so that no message changes. Everything else acts as before.

Some targets slow down by 1.3 when more than 95 % of their slots are used. While calls wait at a gate of 16 slots or more, it compares all slots with 94 % of them and keeps the better limit for 5 s.

The other tests were not run.

--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -31,6 +31,8 @@
     facts_revision: IntGauge,
     store_revision: IntGauge,
     target_limit: Gauge,
+    target_pace: IntGauge,
+    concurrency_limit: IntGauge,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -71,6 +73,14 @@
         let target_limit =
             Gauge::new("monsoon_target_limit", "Requests per second that the own target takes.")?;
         registry.register(Box::new(target_limit.clone()))?;
+        let target_pace = gauge(
+            "monsoon_target_pace_percent",
+            "How long work takes on the own target's machine, in percent of the usual time.",
+        )?;
+        let concurrency_limit = gauge(
+            "monsoon_concurrency_limit",
+            "Calls that may run on the own target at the same time.",
+        )?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -92,6 +102,8 @@
             facts_revision,
             store_revision,
             target_limit,
+            target_pace,
+            concurrency_limit,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -127,6 +139,8 @@
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
+        metrics.target_pace.set(dump.target_pace.map_or(-1, i64::from));
+        metrics.concurrency_limit.set(dump.concurrency_limit as i64);
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         metrics.held_response_bytes.set(self.target.held_bytes() as i64);
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -35,6 +35,9 @@
     pub busy_remote_factor: f64,
     /// The age after which a report is ignored, in milliseconds.
     pub report_age_ms: u64,
+    /// Whether the latency in a report, while that is not ignored, replaces the latency measured by
+    /// this node. For pools whose targets change their pace faster than a node sends them calls.
+    pub reported_latency: bool,
     /// The number of consecutive broken calls that ejects a target.
     pub eject_broken: u32,
     /// The fraction of a target's recent calls that must fail to eject it.
@@ -57,6 +60,7 @@
             remote_factor: 1.5,
             busy_remote_factor: 1.5,
             report_age_ms: 500,
+            reported_latency: false,
             eject_broken: 3,
             eject_failed_share: 0.5,
             eject_ms: 1000,
@@ -197,6 +201,11 @@
         }
     }
 
+    /// Sets whether picks use the latency in reports, see [`Settings::reported_latency`].
+    pub fn use_reported_latency(&mut self, is_used: bool) {
+        self.settings.reported_latency = is_used;
+    }
+
     /// Returns the state for operators.
     pub fn dump(&self, now: Instant) -> Dump {
         let default_latency_s = self.mean_latency_s();
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -69,6 +69,7 @@
     limit: u32,
     busy: u32,
     queue_delay: Duration,
+    latency: Duration,
     in_flight_at_report: u32,
 }
 
@@ -153,6 +154,7 @@
             limit: report.limit.max(1),
             busy: report.in_flight,
             queue_delay: report.queue_delay,
+            latency: report.latency,
             in_flight_at_report: self.in_flight,
         });
     }
@@ -199,7 +201,9 @@
     /// measured.
     pub fn cost(&self, now: Instant, default_latency_s: f64, settings: &Settings) -> f64 {
         let load = self.fresh_load(now, settings);
-        let latency_s = self.latency_s.unwrap_or(default_latency_s).max(1e-6);
+        let measured_s = self.latency_s.unwrap_or(default_latency_s);
+        let reported = load.filter(|load| settings.reported_latency && !load.latency.is_zero());
+        let latency_s = reported.map_or(measured_s, |load| load.latency.as_secs_f64()).max(1e-6);
         let delay_s = load.map_or(0.0, |load| load.queue_delay.as_secs_f64());
         let calls = load.map_or(self.slots, |load| load.limit);
         let ramped_limit = f64::from(calls) * self.ramp(now, settings);
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -2,14 +2,20 @@
 //!
 //! The number of calls in flight never exceeds the slots, because an overfull target may never
 //! answer. Further calls wait in a short queue ordered by rank, and are refused at once if the
-//! expected wait would use up their latency objective. The limit is not adaptive: a slow target
-//! raises the mean latency, and with it the expected wait.
+//! expected wait would use up their latency objective. A slow target raises the mean latency, and with
+//! it the expected wait. The limit is lower than the slots only while calls wait and a trial has
+//! shown that the target finishes more calls that way ([`Knee`]).
 //!
 //! A target may name a limit on its requests per second. All its requests pass this gate, so the
 //! limit is kept here, whichever nodes the requests come from.
 
 use {
-    super::{announcement::Limit, throttle::Throttle},
+    super::{
+        announcement::{Limit, Pace},
+        knee::{self, Knee},
+        pace,
+        throttle::Throttle,
+    },
     crate::{id, pressure, time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{
@@ -18,10 +24,6 @@
     },
 };
 
-/// The weight of a new sample in the moving average of the latency.
-const LATENCY_SAMPLE_WEIGHT: f64 = 0.05;
-/// The mean latency assumed before the first sample.
-const INITIAL_MEAN_LATENCY_S: f64 = 0.05;
 /// The largest expected wait at arrival, as a fraction of the latency objective.
 const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.5;
 /// The longest actual wait before a queued call is refused, as a fraction of the latency objective.
@@ -99,7 +101,8 @@
     /// The queued calls in order, with the time at which each is refused.
     queue: BTreeMap<QueueKey, Instant>,
     queue_keys: HashMap<id::Call, QueueKey>,
-    mean_latency_s: f64,
+    pace: pace::Tracker,
+    knee: Knee,
     throttle: Option<Throttle>,
     has_response: bool,
 }
@@ -112,7 +115,8 @@
             running: HashSet::new(),
             queue: BTreeMap::new(),
             queue_keys: HashMap::new(),
-            mean_latency_s: INITIAL_MEAN_LATENCY_S,
+            pace: pace::Tracker::default(),
+            knee: Knee::default(),
             throttle: None,
             has_response: false,
         }
@@ -120,6 +124,9 @@
 
     /// Sets the published number of slots. Calls in flight are not affected.
     pub fn resize(&mut self, slots: u32) {
+        if self.slots != slots as usize {
+            self.knee.reset();
+        }
         self.slots = slots as usize;
     }
 
@@ -127,6 +134,8 @@
     pub fn forget_target(&mut self) {
         self.throttle = None;
         self.has_response = false;
+        self.pace.forget_target();
+        self.knee.reset();
     }
 
     /// Records the limit that the target named in a response. Returns whether it began or ceased to
@@ -143,6 +152,21 @@
         self.throttle.is_some() != was_limited
     }
 
+    /// Records the pace that the target named in a response.
+    pub fn record_pace(&mut self, now: Instant, pace: Pace) {
+        self.pace.record_pace(now, pace);
+    }
+
+    /// Returns the pace that the target named last, unless it is too old.
+    pub fn pace(&self, now: Instant) -> Option<Pace> {
+        self.pace.pace(now)
+    }
+
+    /// Returns the number of calls that may run at the same time.
+    pub fn concurrency_limit(&self) -> usize {
+        self.knee.limit().of(self.slots)
+    }
+
     /// Returns the limit on requests per second that the target names.
     pub fn limit(&self) -> Option<RequestRate> {
         self.throttle.map(|throttle| throttle.limit())
@@ -179,8 +203,9 @@
         if self.running.remove(&call)
             && let Some(latency) = latency
         {
-            self.mean_latency_s +=
-                LATENCY_SAMPLE_WEIGHT * (latency.as_secs_f64() - self.mean_latency_s);
+            self.pace.record_call(now, latency);
+            let pace = self.pace.pace(now).unwrap_or(Pace::USUAL);
+            self.knee.record_call(now, latency, pace.factor());
         }
         self.tick(now)
     }
@@ -220,6 +245,7 @@
             self.running.insert(key.call);
             releases.push(Release::Run(key.call));
         }
+        self.update_knee(now);
         releases
     }
 
@@ -237,14 +263,14 @@
     /// number of concurrent calls that it amounts to.
     pub fn report(&self, now: Instant) -> pressure::Report {
         let by_rate = self.throttle.map_or(usize::MAX, |throttle| {
-            (throttle.limit().per_second() * self.mean_latency_s).ceil() as usize
+            (throttle.limit().per_second() * self.pace.latency_s(now)).ceil() as usize
         });
         let queue_delay = self.expected_wait(now, self.queue.len());
         pressure::Report {
             in_flight: (self.running.len() + self.queue.len()) as u32,
-            limit: self.slots.min(by_rate).max(1) as u32,
+            limit: self.concurrency_limit().min(by_rate).max(1) as u32,
             queue_delay,
-            latency: Duration::from_secs_f64(self.mean_latency_s),
+            latency: Duration::from_secs_f64(self.pace.latency_s(now)),
             retry_after: self.retry_after(now),
             slices: Vec::new(),
         }
@@ -257,12 +283,23 @@
 
     fn has_free_slot(&self) -> bool {
         let slots = match self.has_response {
-            true => self.slots,
-            false => self.slots.min(MAX_CALLS_BEFORE_RESPONSE),
+            true => self.concurrency_limit(),
+            false => self.concurrency_limit().min(MAX_CALLS_BEFORE_RESPONSE),
         };
         self.running.len() < slots
     }
 
+    /// Tries and selects concurrency limits while calls wait for a slot.
+    fn update_knee(&mut self, now: Instant) {
+        let is_contended = !self.queue.is_empty() && self.running.len() >= self.concurrency_limit();
+        let latency_s = self.pace.latency_s(now);
+        let change = self.knee.tick(now, self.slots, is_contended, latency_s);
+        if let Some(knee::Change { gain, .. }) = change {
+            let (limit, slots) = (self.concurrency_limit(), self.slots);
+            log::info!(limit, slots, gain; "concurrency limit changed");
+        }
+    }
+
     /// Returns whether a call may start now, and counts it against the target's limit if so.
     fn try_start(&mut self, now: Instant) -> bool {
         let has_free_slot = self.has_free_slot();
@@ -274,8 +311,8 @@
         let for_slot = match self.has_free_slot() {
             true => Duration::ZERO,
             false => {
-                let slots = self.slots.max(1) as f64;
-                Duration::from_secs_f64((ahead + 1) as f64 * self.mean_latency_s / slots)
+                let slots = self.concurrency_limit().max(1) as f64;
+                Duration::from_secs_f64((ahead + 1) as f64 * self.pace.latency_s(now) / slots)
             }
         };
         let for_rate = self.throttle.map(|throttle| throttle.wait(now, ahead));
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -22,13 +22,14 @@
 
 use {
     super::{
-        announcement::{Announcement, Limit},
+        announcement::{Announcement, Limit, Pace},
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
         lag::Lag,
         lease::Lease,
         lineage::ActiveRuns,
+        pace,
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
@@ -129,6 +130,7 @@
     longest_timeouts: LongestTimeouts,
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
+    paced_pools: pace::Pools,
     gate: Gate,
     /// The name and start of the local target that the gate is for.
     own_instance: Option<(id::Vm, u64)>,
@@ -160,6 +162,7 @@
             pool_selectors: HashMap::new(),
             longest_timeouts: LongestTimeouts::default(),
             limited_targets: BTreeSet::new(),
+            paced_pools: pace::Pools::default(),
             gate: Gate::new(0),
             own_instance: None,
             rate_limiter: RateLimiter::default(),
@@ -294,6 +297,9 @@
         self.facts.tick(now);
         self.crash_tracker.tick(now);
         self.peers.tick(now);
+        for pool in self.paced_pools.take_expired(now) {
+            self.use_reported_latency(&pool, false);
+        }
         if self.fleet.tick(now) {
             self.refresh(now);
         }
@@ -317,6 +323,9 @@
         }
         // The limits of other targets are kept by their own nodes.
         let is_own = self.own_target().as_ref() == Some(target);
+        if let Some(pace) = announcement.load.and_then(|load| load.pace) {
+            self.record_pace(now, target, pace, is_own);
+        }
         let is_limit_changed = is_own && self.gate.record_limit(now, announcement.limit);
         AnnouncementChanges { is_leaving, is_limit_changed }
     }
@@ -337,6 +346,34 @@
         }
     }
 
+    /// Records the load of the local target for calls to its own pool, if the others are compared by
+    /// their reports.
+    fn record_own_load(&mut self, now: Instant, pool: &id::Pool) {
+        if *pool != self.settings.pool || !self.paced_pools.contains(pool) {
+            return;
+        }
+        if let Some(target) = self.own_target() {
+            self.record_load(now, &target, &self.gate.report(now));
+        }
+    }
+
+    fn record_pace(&mut self, now: Instant, target: &id::Vm, pace: Pace, is_own: bool) {
+        if is_own {
+            self.gate.record_pace(now, pace);
+        }
+        let Some(pool) = self.fleet.get(target).map(|target| &target.pool) else { return };
+        if self.paced_pools.record(now, pool) {
+            let pool = pool.clone();
+            self.use_reported_latency(&pool, true);
+        }
+    }
+
+    fn use_reported_latency(&mut self, pool: &id::Pool, is_used: bool) {
+        if let Some(picker) = self.pickers.get_mut(pool) {
+            picker.use_reported_latency(is_used);
+        }
+    }
+
     fn resend_budget(&mut self, now: Instant, pool: &id::Pool) -> &mut ResendBudget {
         let Settings { resend_permille, resend_window, .. } = self.settings;
         let budget = self.resend_budgets.entry(pool.clone());
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -117,6 +117,7 @@
             }
         }
         avoid.extend(exclude.iter().cloned());
+        self.record_own_load(now, &call.pool);
         let picker = self.pickers.get_mut(&call.pool);
         let target = picker.and_then(|picker| {
             let first_choice = picker.pick(now, &avoid).or_else(|| picker.pick(now, &exclude));
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::position::Position,
+        mesh::{announcement::Pace, position::Position},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -35,6 +35,10 @@
     pub waiting: usize,
     /// The limit on requests per second that the local target names.
     pub target_limit: Option<f64>,
+    /// The pace that the local target names, in percent of the usual time.
+    pub target_pace: Option<u32>,
+    /// The number of calls that may run on the local target at the same time.
+    pub concurrency_limit: usize,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
 }
@@ -53,6 +57,8 @@
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
             target_limit: self.gate.limit().map(RequestRate::per_second),
+            target_pace: self.gate.pace(now).map(Pace::percent),
+            concurrency_limit: self.gate.concurrency_limit(),
             pools: self
                 .pickers
                 .iter()
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -192,6 +192,7 @@
                 let settings = balance::Settings {
                     remote_factor: REMOTE_FACTOR,
                     busy_remote_factor: BUSY_REMOTE_FACTOR,
+                    reported_latency: self.paced_pools.contains(&pool),
                     ..balance::Settings::default()
                 };
                 let mut picker = Picker::new(settings, data_centre, seed);
--- a/lib/tests/balance.rs
+++ b/lib/tests/balance.rs
@@ -149,6 +149,60 @@
     assert!(target_calls(&late) > 30, "{late:?}");
 }
 
+fn reporting_picker(members: &[TargetInfo], seed: u64) -> Picker {
+    let settings = Settings { reported_latency: true, ..Settings::default() };
+    let mut picker = Picker::new(settings, "near".parse().expect("a valid name"), seed);
+    picker.set_targets(Instant::ZERO, members);
+    picker
+}
+
+/// A target that has become slow would get calls until each sender has measured it, and one that is
+/// fast again would get none.
+#[test]
+fn reported_latency() {
+    let mut picker = reporting_picker(&[target("a", "near"), target("b", "near")], 7);
+    let report_latency = |picker: &mut Picker, now: Instant, name: &str, latency: Duration| {
+        let report = pressure::Report { latency, ..report(10, 100) };
+        picker.record_report(now, &vm(name), &report);
+    };
+    let measured = |name: &str| (CallResult::Ok, if name == "a" { ms(20) } else { ms(10) });
+    report_latency(&mut picker, Instant::ZERO, "a", ms(10));
+    report_latency(&mut picker, Instant::ZERO, "b", ms(25));
+    let counts = send(&mut picker, Instant::ZERO, 100, measured);
+    assert_eq!(counts.get("b"), None, "{counts:?}");
+    report_latency(&mut picker, Instant::from_millis(100), "a", ms(25));
+    report_latency(&mut picker, Instant::from_millis(100), "b", ms(10));
+    let counts = send(&mut picker, Instant::from_millis(100), 100, measured);
+    assert_eq!(counts.get("a"), None, "{counts:?}");
+    // Old reports are ignored.
+    report_latency(&mut picker, Instant::from_millis(200), "a", ms(1));
+    let counts = send(&mut picker, Instant::from_millis(701), 100, measured);
+    assert_eq!(counts.get("a"), None, "{counts:?}");
+}
+
+/// Nodes with the same stale report would all pick the target that it shows as the best.
+#[test]
+fn no_herd() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let members = names.map(|name| target(name, "near"));
+    let mut counts: BTreeMap<id::Vm, u32> = BTreeMap::new();
+    for seed in 0..50 {
+        let mut picker = reporting_picker(&members, seed);
+        for name in names {
+            let latency = if name == "a" { ms(10) } else { ms(25) };
+            let report = pressure::Report { latency, ..report(50, 100) };
+            picker.record_report(Instant::ZERO, &vm(name), &report);
+        }
+        for i in 0..10 {
+            let vm = picker.pick(Instant::from_millis(i), &[]).expect("there is a target");
+            picker.call_started(&vm);
+            *counts.entry(vm).or_default() += 1;
+        }
+    }
+    // A sample of two holds each of ten targets in a fifth of the picks.
+    assert!(counts[&vm("a")] < 500 / 4, "{counts:?}");
+}
+
 #[test]
 fn same_seed() {
     let run = || {
