--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -35,6 +35,8 @@
     target_limit: Gauge,
     entry_refused: IntCounterVec,
     pool_loads: scarcity::Gauges,
+    target_pace: IntGauge,
+    concurrency_limit: IntGauge,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -81,6 +83,14 @@
         let target_limit =
             Gauge::new("monsoon_target_limit", "Requests per second that the own target takes.")?;
         registry.register(Box::new(target_limit.clone()))?;
+        let target_pace = gauge(
+            "monsoon_target_pace_percent",
+            "How long work takes on the own target's machine, in percent of the usual time.",
+        )?;
+        let concurrency_limit = gauge(
+            "monsoon_concurrency_limit",
+            "Calls that may run on the own target at the same time.",
+        )?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -110,6 +120,8 @@
             target_limit,
             entry_refused,
             pool_loads,
+            target_pace,
+            concurrency_limit,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -151,6 +163,8 @@
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
         metrics.pool_loads.set(&dump.loads);
+        metrics.target_pace.set(dump.target_pace.map_or(-1, i64::from));
+        metrics.concurrency_limit.set(dump.concurrency_limit as i64);
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         for kind in standing::Kind::ALL {
             let counter = metrics.refused_by_standing.with_label_values(&[kind.as_str()]);
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -25,7 +25,7 @@
 
 use {
     super::{
-        announcement::{Announcement, Limit},
+        announcement::{Announcement, Limit, Pace},
         demand::Meter,
         fact::{FactStore, Target},
         fleet::Fleet,
@@ -33,6 +33,7 @@
         lag::Lag,
         lease::Lease,
         lineage::ActiveRuns,
+        pace,
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
@@ -139,6 +140,7 @@
     entry_refusals: standing::Refusals,
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
+    paced_pools: pace::Pools,
     gate: Gate,
     meter: Meter,
     tracker: Tracker,
@@ -175,6 +177,7 @@
             longest_timeouts: LongestTimeouts::default(),
             entry_refusals: standing::Refusals::default(),
             limited_targets: BTreeSet::new(),
+            paced_pools: pace::Pools::default(),
             gate: Gate::new(0),
             meter: Meter::default(),
             tracker: Tracker::default(),
@@ -312,6 +315,9 @@
         self.facts.tick(now);
         self.crash_tracker.tick(now);
         self.peers.tick(now);
+        for pool in self.paced_pools.take_expired(now) {
+            self.use_reported_latency(&pool, false);
+        }
         if self.fleet.tick(now) {
             self.refresh(now);
         }
@@ -335,6 +341,9 @@
         }
         // The limits of other targets are kept by their own nodes.
         let is_own = self.own_target().as_ref() == Some(target);
+        if let Some(pace) = announcement.load.and_then(|load| load.pace) {
+            self.record_pace(now, target, pace, is_own);
+        }
         let is_limit_changed = is_own && self.gate.record_limit(now, announcement.limit);
         AnnouncementChanges { is_leaving, is_limit_changed }
     }
@@ -355,6 +364,34 @@
         }
     }
 
+    /// Records the load of the local target for calls to its own pool, if the others are compared by
+    /// their reports.
+    fn record_own_load(&mut self, now: Instant, pool: &id::Pool) {
+        if *pool != self.settings.pool || !self.paced_pools.contains(pool) {
+            return;
+        }
+        if let Some(target) = self.own_target() {
+            self.record_load(now, &target, &self.gate.report(now));
+        }
+    }
+
+    fn record_pace(&mut self, now: Instant, target: &id::Vm, pace: Pace, is_own: bool) {
+        if is_own {
+            self.gate.record_pace(now, pace);
+        }
+        let Some(pool) = self.fleet.get(target).map(|target| &target.pool) else { return };
+        if self.paced_pools.record(now, pool) {
+            let pool = pool.clone();
+            self.use_reported_latency(&pool, true);
+        }
+    }
+
+    fn use_reported_latency(&mut self, pool: &id::Pool, is_used: bool) {
+        if let Some(picker) = self.pickers.get_mut(pool) {
+            picker.use_reported_latency(is_used);
+        }
+    }
+
     fn resend_budget(&mut self, now: Instant, pool: &id::Pool) -> &mut ResendBudget {
         let Settings { resend_permille, resend_window, .. } = self.settings;
         let budget = self.resend_budgets.entry(pool.clone());
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::{position::Position, scarcity::PoolState, standing},
+        mesh::{announcement::Pace, position::Position, scarcity::PoolState, standing},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -37,6 +37,10 @@
     pub target_limit: Option<f64>,
     /// The client requests refused since a pool below their route is scarce.
     pub entry_refusals: standing::Refusals,
+    /// The pace that the local target names, in percent of the usual time.
+    pub target_pace: Option<u32>,
+    /// The number of calls that may run on the local target at the same time.
+    pub concurrency_limit: usize,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
     /// The latest reported loads of pools under pressure.
@@ -59,6 +63,8 @@
             target_limit: self.gate.limit().map(RequestRate::per_second),
             entry_refusals: self.entry_refusals,
             loads: self.pool_states(now),
+            target_pace: self.gate.pace(now).map(Pace::percent),
+            concurrency_limit: self.gate.concurrency_limit(),
             pools: self
                 .pickers
                 .iter()
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -193,6 +193,7 @@
                     remote_factor: REMOTE_FACTOR,
                     busy_remote_factor: BUSY_REMOTE_FACTOR,
                     assumes_mean_load: true,
+                    reported_latency: self.paced_pools.contains(&pool),
                     ..balance::Settings::default()
                 };
                 let mut picker = Picker::new(settings, data_centre, seed);
