cold: bound the requests per second of cold targets

A target that has just started, or became cold again, crashes under many requests per second. Nothing bounded them but its slots.

The node beside the target keeps the bound of its pool (columns cold_start_s and cold_per_s of services) with a token bucket in the gate. It believes health answers (X-Cold-Ms), its own observation that the target was down, the entry (cold_remaining_ms), and at its start that the target started with it. The bounds and remaining times travel between nodes in Supplement::Facts; the layout of messages is unchanged. Without the columns nothing changes.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -5,6 +5,7 @@
 
 pub mod adapter;
 mod buffer;
+mod cold;
 mod frame;
 mod front;
 mod link;
@@ -77,6 +78,8 @@
     /// Notified after each read of the document.
     document_read: Notify,
     vouching: VouchState,
+    /// Whether a task asks the own target whether it is cold.
+    is_asking_target: Cell<bool>,
     /// Calls whose connections to the node's own target broke, until a probe has shown whether the
     /// target crashed.
     broken_calls: RefCell<Vec<id::Call>>,
--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -40,6 +40,15 @@
     pub fields: Vec<Field>,
 }
 
+/// What a healthy target says in its response to a health check.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Health {
+    /// The instance ID of the target.
+    pub instance: id::Vm,
+    /// How much longer the target is cold, zero if it is not. `None` if that can't be understood.
+    pub cold_remaining: Option<Duration>,
+}
+
 /// Translates between the platform's HTTP headers and the daemon's types.
 pub trait HeaderAdapter: 'static {
     /// Decodes the head of a caller's request.
@@ -65,9 +74,9 @@
     /// Returns the response that reports a refusal to the caller.
     fn refusal_response(&self, refusal: &Refusal, request: Option<&str>) -> RefusalResponse;
 
-    /// Returns the instance ID from the response to a health check, or `None` if the target is
-    /// unhealthy or leaving.
-    fn healthy_instance(&self, status: u16, headers: &HeaderMap) -> Option<id::Vm>;
+    /// Returns what the response to a health check says, or `None` if the target is unhealthy or
+    /// leaving.
+    fn healthy_instance(&self, status: u16, headers: &HeaderMap) -> Option<Health>;
 
     /// Returns whether a request on the readiness address is a readiness probe.
     fn is_readiness_probe(&self, parts: &Parts) -> bool;
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -9,7 +9,7 @@
 
 mod supplement;
 
-pub use supplement::Supplement;
+pub use supplement::{ColdTarget, Supplement};
 
 use {
     crate::http::message::Field,
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -31,6 +31,8 @@
     facts_revision: IntGauge,
     store_revision: IntGauge,
     target_limit: Gauge,
+    target_cold: IntGauge,
+    held_back: IntCounter,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -71,6 +73,12 @@
         let target_limit =
             Gauge::new("monsoon_target_limit", "Requests per second that the own target takes.")?;
         registry.register(Box::new(target_limit.clone()))?;
+        let target_cold = gauge("monsoon_target_cold", "Whether the own target is cold.")?;
+        let held_back = IntCounter::new(
+            "monsoon_cold_held_back_total",
+            "Calls that waited or were refused because the own target is cold.",
+        )?;
+        registry.register(Box::new(held_back.clone()))?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -92,6 +100,8 @@
             facts_revision,
             store_revision,
             target_limit,
+            target_cold,
+            held_back,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -127,6 +137,8 @@
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
+        metrics.target_cold.set(i64::from(dump.is_target_cold));
+        metrics.held_back.inc_by(dump.held_back_by_cold - metrics.held_back.get());
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
         metrics.held_response_bytes.set(self.target.held_bytes() as i64);
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -140,6 +140,7 @@
             }
             ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal)),
             ExchangeResult::Unreachable(error) => {
+                self.record_unreachable_target(&error);
                 log::warn!(
                     request = forwarded.request.as_str(), error:% = error;
                     "can't connect to the target"
@@ -187,6 +188,7 @@
             let now = clock::now();
             let calls = mesh.broken_calls.take();
             if is_alive {
+                mesh.ask_restarted_target();
                 let mut node = mesh.node.borrow_mut();
                 calls
                     .into_iter()
@@ -194,6 +196,7 @@
                 return;
             }
             log::warn!(calls = calls.len(); "target crashed");
+            mesh.record_crashed_target();
             mesh.node.borrow_mut().crash_tracker().target_crashed(now);
             mesh.send_crash_reports().await;
         });
@@ -226,7 +229,7 @@
     }
 
     /// Notifies queued calls that they were admitted or refused.
-    fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
+    pub fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
         for release in releases {
             let (Release::Run(call) | Release::Refuse(call, _)) = release;
             let waiter = self.queued_calls.borrow_mut().remove(&call);
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -233,7 +233,7 @@
         }
     }
     let now = clock::now();
-    let (message, extension) = {
+    let (message, extension, supplement) = {
         let node = mesh.node.borrow();
         let update = node.facts().update_after(query.after, query.document);
         // A node that is cut off from the platform by itself knows nothing of an outage.
@@ -241,6 +241,7 @@
         let outage = node.fleet().last_outage().filter(|_| is_informed);
         let outage_age = outage.map(|at| now - at);
         let position = update.position.revision;
+        let supplement = replication::supplement(&update);
         let (facts, extension) =
             replication::encode(update, outage_age.map(|age| age.as_millis() as u64));
         let message = PeerResponse::Facts {
@@ -249,10 +250,10 @@
             is_reader: mesh.has_read_recently(now),
             confirmed_age_ms: node.lease().confirmed().map(|at| signed_age_ms(at, arrived)),
         };
-        (message, extension)
+        (message, extension, supplement)
     };
     link.runs.borrow_mut().remove(&number);
-    let attachments = Attachments { extension: Some(&extension), supplement: None };
+    let attachments = Attachments { extension: Some(&extension), supplement: supplement.as_ref() };
     match frame::encode_with(number, message, attachments, Bytes::new()) {
         // If the link broke meanwhile, nobody waits for the response.
         Ok(frame) => drop(link.frames.send(frame)),
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -118,6 +118,7 @@
         store_restored: Notify::new(),
         document_read: Notify::new(),
         vouching: VouchState::default(),
+        is_asking_target: Cell::default(),
         broken_calls: RefCell::default(),
     });
     let (close_sender, closing) = watch::channel(false);
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     monsoon_lib::{
         mesh::{
-            fact::Value,
+            fact::{Key, Value},
             node::{Changes, Source},
             position::Position,
             read_schedule::{ReadSchedule, Role},
@@ -156,6 +156,7 @@
         if let Some(revision) = changes.table {
             log::info!(revision:% = revision, from; "tables in force");
         }
+        self.watch_cold_target();
         if changes.has_target_changes {
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
@@ -391,7 +392,12 @@
         let has_tables = self.node.borrow().table().is_some();
         let is_source = has_tables && self.source() == Source::Peer(host);
         let is_recheck = self.node.borrow().peers().stale_sources(now).contains(&host);
-        let update = replication::decode(facts, position, response.extension.as_ref());
+        let supplement = response.supplement.as_ref();
+        let update = replication::decode(facts, position, response.extension.as_ref(), supplement);
+        if supplement.is_none() && update.facts.iter().any(|fact| fact.key == Key::Document) {
+            // A peer of an earlier version does not know the bounds on cold targets.
+            self.is_read_due.set(true);
+        }
         let changes = {
             let mut node = self.node.borrow_mut();
             node.peers_mut().record_contact(now, host, None);
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        adapter::{HeaderAdapter, ResponseVerdict},
+        adapter::{HeaderAdapter, Health, ResponseVerdict},
         buffer::Buffer,
         socket,
     },
@@ -18,7 +18,6 @@
     hyper_util::rt::TokioIo,
     monsoon_lib::{
         call::{Reason, Refusal},
-        id,
         mesh::node::ForwardedRequest,
     },
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
@@ -212,10 +211,19 @@
         Ok((sender, Connection(task)))
     }
 
+    /// Connects to the target without sending a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not accept connections.
+    pub async fn probe(&self) -> io::Result<()> {
+        socket::connect(self.address).await.map(drop)
+    }
+
     /// Returns whether the target accepts connections.
     pub async fn is_reachable(&self) -> bool {
-        match socket::connect(self.address).await {
-            Ok(_) => true,
+        match self.probe().await {
+            Ok(()) => true,
             Err(error) => {
                 log::info!(error:% = error; "target does not accept connections");
                 false
@@ -223,12 +231,12 @@
         }
     }
 
-    /// Checks the target's health. Returns its instance ID if it is healthy and not leaving.
+    /// Checks the target's health. Returns what it says if it is healthy and not leaving.
     pub async fn check_health<H: HeaderAdapter>(
         &self,
         header_adapter: &H,
         path: &str,
-    ) -> Option<id::Vm> {
+    ) -> Option<Health> {
         let check = async {
             let request = Request {
                 method: "GET".into(),
@@ -244,7 +252,7 @@
             )
         };
         match tokio::time::timeout(HEALTH_TIMEOUT, check).await {
-            Ok(Ok(name)) => name,
+            Ok(Ok(health)) => health,
             Ok(Err(error)) => {
                 log::info!(error:% = error; "health check failed");
                 None
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -30,6 +30,7 @@
             self.target.evict_expired();
             self.log_readiness(now);
             self.log_lag(now);
+            self.watch_cold_target();
             for host in self.node.borrow().peers().stale_sources(now) {
                 let mesh = self.clone();
                 tokio::task::spawn_local(
--- a/daemon/src/mesh/vouch.rs
+++ b/daemon/src/mesh/vouch.rs
@@ -127,6 +127,7 @@
             let path = node.table().and_then(|table| table.health(&node.settings().pool));
             path?.to_owned()
         };
-        self.target.check_health(&self.header_adapter, &path).await
+        let health = self.target.check_health(&self.header_adapter, &path).await;
+        health.map(|health| health.instance)
     }
 }
--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -1,19 +1,353 @@
 //! Bounds on the requests per second of targets that are cold.
 //!
 //! A target that has just started, or that became cold again, takes only few requests per second,
-//! and crashes under many more. See docs/design/uneven-load.md.
+//! and crashes under many more. The node beside it sees all its requests, so it keeps the bound, by
+//! what the nearest witnesses say. See docs/design/uneven-load.md.
 
 use {
-    crate::unit::RequestRate,
+    super::fact::Heartbeat,
+    crate::{time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// How much of the rate may accumulate while calls are fewer, in addition to one call.
+const BURST: Duration = Duration::from_millis(250);
+/// The lowest rate at which calls start, per second. It keeps waiting times within range, and the
+/// slack of the bound covers it.
+const MIN_RATE: f64 = 0.5;
+/// The starts of this time before the target became cold count against the bound, which holds in each
+/// span of one second.
+const SPAN_S: f64 = 1.0;
+/// The time in which the rate doubles after the end of the cold time.
+const DOUBLING: Duration = Duration::from_millis(250);
+/// The number of doublings after which there is no bound. The rate is then 4,096 times that of the
+/// cold target, which is above that of any warm one.
+const MAX_DOUBLINGS: f64 = 12.0;
+/// The shortest time between two health checks, which take the target's time and are priced.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The time without a new entry after which the target itself is asked. Targets renew their entries
+/// about every two seconds, so the node or the target is cut off from the store.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The end of a cold time that is not known yet.
+const UNKNOWN_END: Instant = Instant::from_nanos(u64::MAX);
+/// Keeps rounding from delaying a start by another wait.
+const TOKEN_TOLERANCE: f64 = 1e-6;
+
 /// The bound on the targets of a pool while they are cold.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Limit {
     /// How long a target is cold after its start.
     pub duration: Duration,
     /// How many requests per second a cold target takes from all nodes together.
     pub rate: RequestRate,
 }
+
+/// By what a target is known to be cold.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Witness {
+    /// The node has just started, and its target may have started with it.
+    Start,
+    /// The target's entry in the store.
+    Entry,
+    /// The target crashed or did not accept connections.
+    Observation,
+    /// The target's answer to a health check.
+    Health,
+}
+
+impl Witness {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Entry => "entry",
+            Self::Observation => "observation",
+            Self::Health => "health",
+        }
+    }
+}
+
+/// A change of the target's state, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The target has become cold.
+    Began {
+        /// The witness with the latest end.
+        witness: Witness,
+        /// How long the target stays cold, if known.
+        remaining: Option<Duration>,
+    },
+    /// The target is not cold any more.
+    Ended,
+}
+
+/// What one witness says.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    made_at: Instant,
+    until: Instant,
+}
+
+/// A token bucket whose rate may change.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    /// The rate since `refilled_at`. Where it rises meanwhile, the bucket fills too slowly rather
+    /// than too fast.
+    rate: f64,
+    refilled_at: Instant,
+}
+
+impl Bucket {
+    /// Creates a bucket that allows one call at once. The previous process of a node may have used
+    /// what else there was.
+    fn new(now: Instant, rate: f64) -> Self {
+        Self { tokens: 1.0, rate, refilled_at: now }
+    }
+
+    fn tokens_at(&self, now: Instant) -> f64 {
+        let filled = self.tokens + self.rate * (now - self.refilled_at).as_secs_f64();
+        filled.min(self.rate * BURST.as_secs_f64() + 1.0)
+    }
+
+    fn advance(&mut self, now: Instant, rate: f64) {
+        self.tokens = self.tokens_at(now);
+        self.refilled_at = self.refilled_at.max(now);
+        self.rate = rate;
+    }
+}
+
+/// The bound on the starts of calls at the node's own target. It does nothing without a [`Limit`].
+#[derive(Clone, Debug, Default)]
+pub struct Guard {
+    limit: Option<Limit>,
+    claims: BTreeMap<Witness, Claim>,
+    /// Whether a witness other than the start of the node has spoken.
+    has_witness: bool,
+    /// The heartbeat of the last entry and the remaining cold time in it.
+    entry: Option<(Heartbeat, Duration)>,
+    /// When an entry or a health answer was last received.
+    heard_at: Instant,
+    /// The end of the cold time, also while the rate rises after it.
+    cold_until: Option<Instant>,
+    /// Whether only the start of the node speaks for the cold time.
+    is_assumed: bool,
+    /// Counts the starts also while the target is not cold, so that it is in debt when the target
+    /// becomes cold.
+    bucket: Option<Bucket>,
+    /// The bucket of the time after the cold time.
+    ramp: Option<Bucket>,
+    last_check: Option<Instant>,
+    is_check_requested: bool,
+    was_cold: bool,
+    held_back: u64,
+}
+
+impl Guard {
+    /// Sets the bound on cold targets of the own pool.
+    ///
+    /// The first one of a node makes its target count as cold until a witness says otherwise.
+    pub fn set_limit(&mut self, now: Instant, limit: Option<Limit>) {
+        let is_first = self.limit.is_none() && limit.is_some() && self.bucket.is_none();
+        self.limit = limit;
+        let Some(limit) = limit else { return };
+        let rate = base_rate(limit);
+        self.bucket.get_or_insert(Bucket::new(now, rate)).advance(now, rate);
+        if is_first {
+            self.heard_at = self.heard_at.max(now);
+            if !self.has_witness {
+                self.claims
+                    .insert(Witness::Start, Claim { made_at: now, until: now + limit.duration });
+            }
+        }
+        self.update(now);
+    }
+
+    /// Records an entry of the target. Its remaining time is counted from now, since it is not known
+    /// when it was written. A bound that holds for too long costs less than one that ends too early.
+    pub fn record_entry(&mut self, now: Instant, heartbeat: Heartbeat, remaining: Duration) {
+        let is_taken = match self.entry {
+            None => true,
+            Some((last, _)) if heartbeat > last => {
+                // The target has written this after the node's first look at its entry.
+                self.claims.remove(&Witness::Start);
+                self.has_witness = true;
+                true
+            }
+            // Nodes of earlier versions pass on entries without the remaining time.
+            Some((last, known)) => heartbeat == last && remaining > known,
+        };
+        if is_taken {
+            self.entry = Some((heartbeat, remaining));
+            self.heard_at = now;
+            self.claims.insert(Witness::Entry, Claim { made_at: now, until: now + remaining });
+        }
+        self.update(now);
+    }
+
+    /// Records the answer to a health check that was sent at `asked_at`. It ends what was claimed
+    /// before that.
+    pub fn record_health(&mut self, asked_at: Instant, now: Instant, remaining: Duration) {
+        self.claims.retain(|_, claim| claim.made_at > asked_at);
+        self.claims.insert(Witness::Health, Claim { made_at: asked_at, until: now + remaining });
+        self.has_witness = true;
+        self.heard_at = now;
+        self.is_check_requested = false;
+        self.update(now);
+    }
+
+    /// Records that the target crashed or does not accept connections.
+    pub fn record_down(&mut self, now: Instant) {
+        if self.limit.is_some() {
+            self.claims.insert(Witness::Observation, Claim { made_at: now, until: UNKNOWN_END });
+            self.update(now);
+        }
+    }
+
+    /// Records that the target accepts connections again.
+    pub fn record_up(&mut self, now: Instant) {
+        let Some(limit) = self.limit.filter(|_| self.is_down()) else { return };
+        let claim = Claim { made_at: now, until: now + limit.duration };
+        self.claims.insert(Witness::Observation, claim);
+        self.update(now);
+    }
+
+    /// Returns whether the target did not accept connections when this was last tried.
+    pub fn is_down(&self) -> bool {
+        self.claims.get(&Witness::Observation).is_some_and(|claim| claim.until == UNKNOWN_END)
+    }
+
+    /// Returns whether the target is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.limit.is_some() && self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the rate at which calls may start now, if there is a bound.
+    pub fn rate(&self, now: Instant) -> Option<RequestRate> {
+        self.rate_per_second(now).and_then(|rate| rate.try_into().ok())
+    }
+
+    /// Returns whether a call may start now.
+    pub fn may_start(&mut self, now: Instant) -> bool {
+        if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
+            bucket.advance(now, base_rate(limit));
+        }
+        if let Some(rate) = self.rate_per_second(now).filter(|_| !self.is_cold(now)) {
+            let mut ramp = self.ramp_bucket(now);
+            ramp.advance(now, rate);
+            self.ramp = Some(ramp);
+        }
+        self.wait(now, 0).is_zero()
+    }
+
+    /// Counts the start of a call.
+    pub fn record_start(&mut self, now: Instant) {
+        if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
+            let rate = base_rate(limit);
+            bucket.advance(now, rate);
+            bucket.tokens = (bucket.tokens - 1.0).max(-rate * SPAN_S);
+        }
+        if let Some(ramp) = &mut self.ramp {
+            ramp.tokens -= 1.0;
+        }
+    }
+
+    /// Counts a call that found a free slot and had to wait or was refused because of the bound.
+    pub fn record_held_back(&mut self) {
+        self.held_back += 1;
+    }
+
+    /// Returns the number of calls that were held back by the bound.
+    pub fn held_back(&self) -> u64 {
+        self.held_back
+    }
+
+    /// Returns the time until a call may start before which `ahead` others start.
+    pub fn wait(&self, now: Instant, ahead: usize) -> Duration {
+        let Some(rate) = self.rate_per_second(now) else { return Duration::ZERO };
+        let bucket = match self.is_cold(now) {
+            true => self.bucket,
+            false => Some(self.ramp_bucket(now)),
+        };
+        let tokens = bucket.map_or(0.0, |bucket| bucket.tokens_at(now));
+        let missing = (ahead + 1) as f64 - tokens;
+        match missing > TOKEN_TOLERANCE {
+            true => Duration::from_secs_f64(missing / rate),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Asks for a health check, since the target may have started again unnoticed.
+    pub fn request_check(&mut self) {
+        self.is_check_requested = true;
+    }
+
+    /// Returns whether a health check of the target is due.
+    pub fn is_check_due(&self, now: Instant) -> bool {
+        let is_active = |witness| self.claims.get(&witness).is_some_and(|claim| now < claim.until);
+        let is_unsure = is_active(Witness::Start) || is_active(Witness::Observation);
+        let is_silent = now - self.heard_at >= SILENCE;
+        let is_wanted = is_unsure || is_silent || self.is_check_requested;
+        let is_early = self.last_check.is_some_and(|at| now - at < CHECK_INTERVAL);
+        self.limit.is_some() && is_wanted && !is_early
+    }
+
+    /// Records that a health check was sent.
+    pub fn record_check(&mut self, now: Instant) {
+        self.last_check = Some(now);
+        self.is_check_requested = false;
+    }
+
+    /// Returns whether the target has become cold or ceased to be since the last call.
+    pub fn take_change(&mut self, now: Instant) -> Option<Change> {
+        let is_cold = self.is_cold(now);
+        if std::mem::replace(&mut self.was_cold, is_cold) == is_cold {
+            return None;
+        }
+        let latest = self.claims.iter().max_by_key(|(_, claim)| claim.until);
+        match latest.filter(|_| is_cold) {
+            Some((witness, claim)) => Some(Change::Began {
+                witness: *witness,
+                remaining: (claim.until != UNKNOWN_END).then(|| claim.until - now),
+            }),
+            None => Some(Change::Ended),
+        }
+    }
+
+    /// Derives the end of the cold time from the claims.
+    fn update(&mut self, now: Instant) {
+        let was_cold = self.cold_until.is_some_and(|until| now < until);
+        self.claims.retain(|_, claim| now < claim.until);
+        let latest = self.claims.values().map(|claim| claim.until).max();
+        let cold_until = match latest {
+            Some(until) => Some(until),
+            // Where nothing but the start of the node spoke for it, the target was warm all along.
+            None if was_cold => (!self.is_assumed).then_some(now),
+            None => self.cold_until,
+        };
+        self.is_assumed = self.claims.keys().all(|witness| *witness == Witness::Start);
+        if cold_until != self.cold_until {
+            self.cold_until = cold_until;
+            self.ramp = None;
+        }
+    }
+
+    fn ramp_bucket(&self, now: Instant) -> Bucket {
+        let rate = self.limit.map_or(MIN_RATE, base_rate);
+        self.ramp.unwrap_or(Bucket::new(self.cold_until.unwrap_or(now), rate))
+    }
+
+    fn rate_per_second(&self, now: Instant) -> Option<f64> {
+        let (limit, until) = (self.limit?, self.cold_until?);
+        if now < until {
+            return Some(base_rate(limit));
+        }
+        let doublings = (now - until).as_secs_f64() / DOUBLING.as_secs_f64();
+        (doublings < MAX_DOUBLINGS).then(|| base_rate(limit) * doublings.exp2())
+    }
+}
+
+fn base_rate(limit: Limit) -> f64 {
+    limit.rate.per_second().max(MIN_RATE)
+}
--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -38,6 +38,10 @@
     pub is_leaving: bool,
     /// The start time in milliseconds of the wall clock, as far as the target publishes it.
     pub started_at_ms: u64,
+    /// How much longer the target is cold, counted from when the entry was written. Nodes exchange it
+    /// beside the entry, because earlier versions do not know it.
+    #[serde(skip)]
+    pub cold_remaining: Duration,
 }
 
 /// The key of a fact.
@@ -60,6 +64,20 @@
     Removed,
 }
 
+impl Value {
+    /// Returns whether the value differs in more than the remaining cold time, which changes with
+    /// each entry of a cold target and concerns only the node beside it.
+    fn differs_from(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Target(new), Self::Target(old)) => {
+                let old = Target { cold_remaining: new.cold_remaining, ..old.clone() };
+                *new != old
+            }
+            _ => self != other,
+        }
+    }
+}
+
 /// How far a target has come in its life, as it publishes about itself. Later entries of the same
 /// name compare greater, also across eras of the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -97,6 +115,10 @@
                 new.revision > old.revision
             }
             (Value::Removed, Value::Document(_)) => false,
+            // A node of an earlier version passed the document on without its bounds.
+            (Value::Document(new), Value::Document(old)) if self.position == other.position => {
+                old.cold.is_empty() && !new.cold.is_empty()
+            }
             // Two nodes may have read the same entry, and one of them knows that the target left.
             _ if self.position == other.position => other.is_in_use() && !self.is_in_use(),
             _ => self.position > other.position,
@@ -171,7 +193,7 @@
             };
             return false;
         }
-        let is_changed = entry.fact.value != fact.value;
+        let is_changed = fact.value.differs_from(&entry.fact.value);
         let heartbeat = fact.heartbeat.max(entry.fact.heartbeat);
         *entry = Entry { fact: Fact { heartbeat, ..fact.clone() }, received_at: now };
         is_changed
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -6,10 +6,11 @@
 //! raises the mean latency, and with it the expected wait.
 //!
 //! A target may name a limit on its requests per second. All its requests pass this gate, so the
-//! limit is kept here, whichever nodes the requests come from.
+//! limit is kept here, whichever nodes the requests come from. The same holds for the bound on a cold
+//! target. The smallest of slots, limit and bound applies.
 
 use {
-    super::{announcement::Limit, throttle::Throttle},
+    super::{announcement::Limit, cold, throttle::Throttle},
     crate::{id, pressure, time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{
@@ -101,6 +102,7 @@
     queue_keys: HashMap<id::Call, QueueKey>,
     mean_latency_s: f64,
     throttle: Option<Throttle>,
+    cold: cold::Guard,
     has_response: bool,
 }
 
@@ -114,10 +116,21 @@
             queue_keys: HashMap::new(),
             mean_latency_s: INITIAL_MEAN_LATENCY_S,
             throttle: None,
+            cold: cold::Guard::default(),
             has_response: false,
         }
     }
 
+    /// Returns the bound on the target while it is cold.
+    pub fn cold(&self) -> &cold::Guard {
+        &self.cold
+    }
+
+    /// Returns the bound on the target while it is cold, for modification.
+    pub fn cold_mut(&mut self) -> &mut cold::Guard {
+        &mut self.cold
+    }
+
     /// Sets the published number of slots. Calls in flight are not affected.
     pub fn resize(&mut self, slots: u32) {
         self.slots = slots as usize;
@@ -148,12 +161,22 @@
         self.throttle.map(|throttle| throttle.limit())
     }
 
+    /// Returns the rate at which calls may start now: the limit that the target names or the bound on
+    /// a cold target, whichever is less.
+    pub fn rate_limit(&self, now: Instant) -> Option<RequestRate> {
+        let rates = self.limit().into_iter().chain(self.cold.rate(now));
+        rates.min_by(|a, b| a.per_second().total_cmp(&b.per_second()))
+    }
+
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
         if self.queue.is_empty() && self.try_start(now) {
             self.running.insert(call);
             return Decision::Run;
         }
+        if self.has_free_slot() && !self.cold.wait(now, 0).is_zero() {
+            self.cold.record_held_back();
+        }
         let due_at = now + request.objective;
         let key = QueueKey { rank: request.rank, due_at, call };
         let wait = self.expected_wait(now, self.queue.range(..key).count());
@@ -191,11 +214,13 @@
         key.is_some_and(|key| self.queue.remove(&key).is_some())
     }
 
-    /// Returns when the limit that the target named lets the next queued call start. `None` if no
-    /// call waits for that; the end of a running call may still start one.
+    /// Returns when the limit that the target named and the bound on a cold target let the next
+    /// queued call start. `None` if no call waits for that; the end of a running call may still start
+    /// one.
     pub fn next_start(&self, now: Instant) -> Option<Instant> {
-        let throttle = self.throttle.filter(|_| !self.queue.is_empty() && self.has_free_slot())?;
-        Some(now + throttle.wait(now, 0))
+        let is_bound = self.rate_limit(now).is_some();
+        let is_waiting = is_bound && !self.queue.is_empty() && self.has_free_slot();
+        is_waiting.then(|| now + self.rate_wait(now, 0))
     }
 
     /// Refuses calls that waited too long, and starts queued calls while there are free slots.
@@ -233,12 +258,12 @@
         self.queue.len()
     }
 
-    /// Returns the load report for other nodes. A limit on requests per second is reported as the
-    /// number of concurrent calls that it amounts to.
+    /// Returns the load report for other nodes. A limit or bound on requests per second is reported as
+    /// the number of concurrent calls that it amounts to.
     pub fn report(&self, now: Instant) -> pressure::Report {
-        let by_rate = self.throttle.map_or(usize::MAX, |throttle| {
-            (throttle.limit().per_second() * self.mean_latency_s).ceil() as usize
-        });
+        let by_rate = self
+            .rate_limit(now)
+            .map_or(usize::MAX, |rate| (rate.per_second() * self.mean_latency_s).ceil() as usize);
         let queue_delay = self.expected_wait(now, self.queue.len());
         pressure::Report {
             in_flight: (self.running.len() + self.queue.len()) as u32,
@@ -263,10 +288,24 @@
         self.running.len() < slots
     }
 
-    /// Returns whether a call may start now, and counts it against the target's limit if so.
+    /// Returns whether a call may start now, and counts it against the target's limit and the bound on
+    /// a cold target if so.
     fn try_start(&mut self, now: Instant) -> bool {
-        let has_free_slot = self.has_free_slot();
-        has_free_slot && self.throttle.as_mut().is_none_or(|throttle| throttle.try_start(now))
+        if !self.has_free_slot() || !self.cold.may_start(now) {
+            return false;
+        }
+        let is_started = self.throttle.as_mut().is_none_or(|throttle| throttle.try_start(now));
+        if is_started {
+            self.cold.record_start(now);
+        }
+        is_started
+    }
+
+    /// Returns the time for which a call behind `ahead` queued calls waits for the target's limit and
+    /// for the bound on a cold target.
+    fn rate_wait(&self, now: Instant, ahead: usize) -> Duration {
+        let for_limit = self.throttle.map(|throttle| throttle.wait(now, ahead));
+        for_limit.unwrap_or_default().max(self.cold.wait(now, ahead))
     }
 
     /// Returns the expected wait of a call behind `ahead` queued calls.
@@ -278,8 +317,7 @@
                 Duration::from_secs_f64((ahead + 1) as f64 * self.mean_latency_s / slots)
             }
         };
-        let for_rate = self.throttle.map(|throttle| throttle.wait(now, ahead));
-        for_slot.max(for_rate.unwrap_or_default())
+        for_slot.max(self.rate_wait(now, ahead))
     }
 
     /// Returns the retry delay for refused callers: twice the expected time to drain the queue.
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -23,6 +23,7 @@
 use {
     super::{
         announcement::{Announcement, Limit},
+        cold,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -129,6 +130,8 @@
     longest_timeouts: LongestTimeouts,
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
+    /// Until when targets are cold, by their entries.
+    cold_targets: BTreeMap<id::Vm, Instant>,
     gate: Gate,
     /// The name and start of the local target that the gate is for.
     own_instance: Option<(id::Vm, u64)>,
@@ -160,6 +163,7 @@
             pool_selectors: HashMap::new(),
             longest_timeouts: LongestTimeouts::default(),
             limited_targets: BTreeSet::new(),
+            cold_targets: BTreeMap::new(),
             gate: Gate::new(0),
             own_instance: None,
             rate_limiter: RateLimiter::default(),
@@ -210,6 +214,11 @@
         &mut self.gate
     }
 
+    /// Returns the bound on the local target while it is cold.
+    pub fn cold_guard(&self) -> &cold::Guard {
+        self.gate.cold()
+    }
+
     /// Returns the active runs of the local target.
     pub fn runs(&mut self) -> &mut ActiveRuns {
         &mut self.runs
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -166,7 +166,7 @@
         attempt: &Attempt,
         latency: Duration,
     ) {
-        let latency = self.service_latency(&attempt.target, latency);
+        let latency = self.service_latency(now, &attempt.target, latency);
         if let Some(picker) = self.pickers.get_mut(&call.pool) {
             picker.call_finished(now, &attempt.target, CallResult::Cancelled, latency);
         }
@@ -181,7 +181,7 @@
         result: AttemptResult,
         latency: Duration,
     ) -> NextStep {
-        let latency = self.service_latency(&attempt.target, latency);
+        let latency = self.service_latency(now, &attempt.target, latency);
         if let Some(picker) = self.pickers.get_mut(&call.pool) {
             picker.call_finished(now, &attempt.target, call_result_of(result), latency);
         }
@@ -217,8 +217,14 @@
 
     /// Returns the latency of an attempt if it tells how fast the target is. With a limit on its
     /// requests per second, a fast target has slow answers, since its calls wait to start.
-    fn service_latency(&self, target: &id::Vm, latency: Duration) -> Option<Duration> {
-        (!self.limited_targets.contains(target)).then_some(latency)
+    fn service_latency(
+        &self,
+        now: Instant,
+        target: &id::Vm,
+        latency: Duration,
+    ) -> Option<Duration> {
+        let is_limited = self.limited_targets.contains(target) || self.is_cold(now, target);
+        (!is_limited).then_some(latency)
     }
 
     fn may_run_again(&mut self, now: Instant, call: &Call, share: f64) -> bool {
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -35,6 +35,10 @@
     pub waiting: usize,
     /// The limit on requests per second that the local target names.
     pub target_limit: Option<f64>,
+    /// Whether the local target is cold.
+    pub is_target_cold: bool,
+    /// The number of calls that the bound on a cold target has held back.
+    pub held_back_by_cold: u64,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
 }
@@ -53,6 +57,8 @@
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
             target_limit: self.gate.limit().map(RequestRate::per_second),
+            is_target_cold: self.gate.cold().is_cold(now),
+            held_back_by_cold: self.gate.cold().held_back(),
             pools: self
                 .pickers
                 .iter()
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -45,6 +45,7 @@
             if self.facts.insert(now, fact) {
                 self.apply_fact(now, fact, &mut changes);
             }
+            self.record_cold_entry(now, fact);
         }
         self.facts.advance_position(position);
         self.lag.record_facts(self.facts.position());
@@ -130,8 +131,11 @@
     fn apply_fact(&mut self, now: Instant, fact: &Fact, changes: &mut Changes) {
         match (&fact.key, &fact.value) {
             (Key::Document, Value::Document(document)) => {
-                let is_newer =
-                    self.table.as_ref().is_none_or(|table| table.revision() < document.revision);
+                let is_newer = self.table.as_ref().is_none_or(|table| {
+                    let lacks_bounds = table.cold().is_empty() && !document.cold.is_empty();
+                    table.revision() < document.revision
+                        || (table.revision() == document.revision && lacks_bounds)
+                });
                 if !is_newer {
                     return;
                 }
@@ -139,6 +143,8 @@
                     Ok(table) => {
                         changes.table = Some(table.revision());
                         self.rate_limiter.set_table(now, &table);
+                        let cold_limit = table.cold().get(&self.settings.pool).copied();
+                        self.gate.cold_mut().set_limit(now, cold_limit);
                         self.table = Some(Arc::new(table));
                     }
                     Err(error) => {
@@ -161,6 +167,30 @@
         }
     }
 
+    /// Records what an entry says about whether its target is cold. Entries that change nothing else
+    /// count as well.
+    fn record_cold_entry(&mut self, now: Instant, fact: &Fact) {
+        let Value::Target(target) = &fact.value else { return };
+        if target.address == self.settings.target {
+            self.gate.cold_mut().record_entry(now, fact.heartbeat, target.cold_remaining);
+        }
+        match target.cold_remaining.is_zero() {
+            true => _ = self.cold_targets.remove(&target.name),
+            false => {
+                let until = now + target.cold_remaining;
+                self.cold_targets.insert(target.name.clone(), until);
+            }
+        }
+    }
+
+    /// Returns whether a target is cold and in a pool with a bound on cold targets.
+    pub(super) fn is_cold(&self, now: Instant, name: &id::Vm) -> bool {
+        let Some(target) = self.fleet.get(name) else { return false };
+        let is_bound =
+            self.table.as_ref().is_some_and(|table| table.cold().contains_key(&target.pool));
+        is_bound && self.cold_targets.get(name).is_some_and(|until| now < *until)
+    }
+
     /// Updates all state that is derived from the table and the targets.
     pub(super) fn refresh(&mut self, now: Instant) {
         self.peers.set_targets(self.fleet.iter());
@@ -182,6 +212,7 @@
             });
         }
         self.limited_targets.retain(|name| self.fleet.get(name).is_some());
+        self.cold_targets.retain(|name, until| now < *until && self.fleet.get(name).is_some());
         for (pool, picker) in &mut self.pickers {
             picker.set_targets(now, listed.get(pool).map_or(&[], Vec::as_slice));
         }
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -5,6 +5,7 @@
 //! without listing their targets, splits a route over pools by weight and ranks requests by number.
 
 use {
+    super::cold,
     crate::{
         id,
         key::Digest,
@@ -149,6 +150,10 @@
     pub health: BTreeMap<id::Pool, String>,
     /// The limits on requests and connections.
     pub bounds: Bounds,
+    /// The bounds on cold targets, by pool. Nodes exchange them beside the document, because earlier
+    /// versions do not know them.
+    #[serde(skip)]
+    pub cold: BTreeMap<id::Pool, cold::Limit>,
 }
 
 /// A validated document, indexed for lookups.
@@ -161,6 +166,7 @@
     pools: BTreeSet<id::Pool>,
     health: BTreeMap<id::Pool, String>,
     bounds: Bounds,
+    cold: BTreeMap<id::Pool, cold::Limit>,
 }
 
 impl Table {
@@ -178,6 +184,7 @@
             pools: BTreeSet::new(),
             health: document.health,
             bounds: document.bounds,
+            cold: document.cold,
         };
         for route in document.routes {
             table.add_route(route)?;
@@ -235,6 +242,11 @@
         self.health.get(pool).map(String::as_str)
     }
 
+    /// Returns the bounds on cold targets, by pool.
+    pub fn cold(&self) -> &BTreeMap<id::Pool, cold::Limit> {
+        &self.cold
+    }
+
     /// Returns the pools of all routes.
     pub fn pools(&self) -> &BTreeSet<id::Pool> {
         &self.pools
--- a/lib/src/unit.rs
+++ b/lib/src/unit.rs
@@ -108,6 +108,9 @@
     }
 }
 
+/// A rate is never NaN, so each rate equals itself.
+impl Eq for RequestRate {}
+
 impl From<RequestRate> for f64 {
     fn from(rate: RequestRate) -> Self {
         rate.0
--- a/lib/tests/closed_target.rs
+++ b/lib/tests/closed_target.rs
@@ -32,6 +32,7 @@
         slots: 4,
         is_leaving,
         started_at_ms,
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -33,6 +33,7 @@
         slots: 4,
         is_leaving: false,
         started_at_ms,
+        cold_remaining: Duration::ZERO,
     }
 }
 
@@ -191,6 +192,7 @@
         accounts,
         health: BTreeMap::new(),
         bounds,
+        cold: BTreeMap::new(),
     })
 }
 
--- a/lib/tests/quota_restart.rs
+++ b/lib/tests/quota_restart.rs
@@ -42,6 +42,7 @@
         accounts: vec![account],
         health: BTreeMap::new(),
         bounds,
+        cold: BTreeMap::new(),
     })
     .expect("a valid table")
 }
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -59,6 +59,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        cold: BTreeMap::new(),
     }
 }
 
@@ -73,6 +74,7 @@
         slots: 4,
         is_leaving: false,
         started_at_ms: 1,
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/lib/tests/store_eras.rs
+++ b/lib/tests/store_eras.rs
@@ -54,6 +54,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        cold: BTreeMap::new(),
     })
 }
 
@@ -174,6 +175,7 @@
                 slots: 4,
                 is_leaving: false,
                 started_at_ms: 1,
+                cold_remaining: Duration::ZERO,
             },
             state: ServerState::Ready,
             sequence: 0,
