platform: test cold targets with real processes

Servers of the test deployment can be cold: they say so in health answers and entries, and become cold again after a crash.

--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -150,6 +150,8 @@
     configuration: Vec<u8>,
     /// The state that each registered server wrote last, by the index of its machine.
     registered: Mutex<BTreeMap<usize, String>>,
+    /// How long the servers of a service are cold, in seconds, and their bound on requests per second.
+    cold_bounds: BTreeMap<String, (f64, f64)>,
     /// The number of starts of all servers so far, by which the last start of each is told apart.
     starts: Mutex<BTreeMap<usize, u64>>,
     /// The number of entries written so far, which stands in for the heartbeats of all servers.
@@ -183,6 +185,7 @@
             version: 0,
             configuration: Vec::new(),
             registered: Mutex::default(),
+            cold_bounds: BTreeMap::new(),
             starts: Mutex::default(),
             sequence: AtomicU64::new(0),
         })
@@ -268,7 +271,8 @@
             "born": 1_700_000_000_000_u64 + index as u64 + starts * 1_000,
             "info": {"service": machine.service, "version": "v1", "zone": machine.zone,
                 "slots": machine.server.slots()},
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "status": {"state": state, "sequence": sequence,
+                "cold_remaining_ms": machine.server.cold_remaining().as_millis() as u64},
         });
         let key = format!("servers/{}", machine.server.id());
         self.store.write(&key, Some(entry.to_string().as_bytes()));
@@ -295,6 +299,12 @@
         self.store.write(&key, None);
     }
 
+    /// Sets the bound on the cold servers of a service in configurations from now on: how long they are
+    /// cold, in seconds, and how many requests per second they take.
+    pub fn set_cold_bound(&mut self, service: &str, seconds: f64, per_second: f64) {
+        self.cold_bounds.insert(service.into(), (seconds, per_second));
+    }
+
     /// Publishes a configuration. Routes are `(prefix, kind, service, target latency in ms,
     /// public)`. Tenants are `(name, keys, requests per second)`, where a rate of 0 means no limit.
     pub fn publish(
@@ -304,8 +314,13 @@
     ) {
         self.version += 3;
         let service_names: BTreeSet<&str> = routes.iter().map(|route| route.2).collect();
-        let services: Vec<Value> =
-            service_names.iter().map(|service| json!([service, "/health"])).collect();
+        let services: Vec<Value> = service_names
+            .iter()
+            .map(|service| {
+                let bound = self.cold_bounds.get(*service);
+                json!([service, "/health", bound.map(|bound| bound.0), bound.map(|bound| bound.1)])
+            })
+            .collect();
         let route =
             |(i, (prefix, kind, service, target_latency_ms, public)): (usize, &(_, _, _, _, _))| {
                 json!([
@@ -330,7 +345,8 @@
             "routes": {"columns": ["name", "host", "prefix", "kind", "timeout_ms",
                 "target_latency_ms", "priority", "traffic_split", "max_attempts", "public",
                 "service"], "rows": routes},
-            "services": {"columns": ["name", "health_path"], "rows": services},
+            "services": {"columns": ["name", "health_path", "cold_start_s", "cold_per_s"],
+                "rows": services},
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -81,6 +81,10 @@
     service_time: Duration,
     /// Header lines that are added to all answers, each with its line break.
     added_fields: String,
+    /// Until when the server is cold.
+    cold_until: Instant,
+    /// How long it is cold after a crash.
+    cold_start: Duration,
     runs: Vec<Run>,
 }
 
@@ -120,6 +124,8 @@
             is_healthy: true,
             service_time: Duration::from_millis(5),
             added_fields: String::new(),
+            cold_until: Instant::now(),
+            cold_start: Duration::ZERO,
             runs: Vec::new(),
         };
         let shared = Arc::new(Shared {
@@ -168,6 +174,19 @@
         self.state().is_healthy = is_healthy;
     }
 
+    /// Makes the server cold from now on for this time, and after each crash. It says so in answers to
+    /// health checks.
+    pub fn set_cold(&self, duration: Duration) {
+        let mut state = self.state();
+        state.cold_start = duration;
+        state.cold_until = Instant::now() + duration;
+    }
+
+    /// Returns how much longer the server is cold.
+    pub fn cold_remaining(&self) -> Duration {
+        self.state().cold_until.saturating_duration_since(Instant::now())
+    }
+
     /// Returns all requests that were executed or shed so far.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -206,6 +225,10 @@
         connections.shutdown().await;
         tokio::time::sleep(RESTART_DELAY).await;
         shared.running.store(0, Ordering::SeqCst);
+        {
+            let mut state = shared.state.lock().expect("the server's state");
+            state.cold_until = Instant::now() + state.cold_start;
+        }
         listener = match TcpListener::bind(address).await {
             Ok(listener) => listener,
             Err(error) => panic!("can't bind the server's address again after a crash: {error}"),
@@ -250,10 +273,16 @@
 /// Serves one request. Returns none if the connection is to be closed.
 async fn serve(shared: &Shared, stream: &mut TcpStream, run: Run) -> Option<()> {
     if run.head.starts_with("GET /health ") {
-        let is_healthy = shared.state.lock().expect("the server's state").is_healthy;
+        let (is_healthy, cold_remaining) = {
+            let state = shared.state.lock().expect("the server's state");
+            (state.is_healthy, state.cold_until.saturating_duration_since(Instant::now()))
+        };
         let status = if is_healthy { "200 OK" } else { "503 Leaving" };
         let id = &shared.id;
-        let added = added_fields(shared);
+        let mut added = added_fields(shared);
+        if !cold_remaining.is_zero() {
+            added += &format!("X-Cold-Ms: {}\r\n", cold_remaining.as_millis());
+        }
         let head =
             format!("HTTP/1.1 {status}\r\n{added}X-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         return stream.write_all(head.as_bytes()).await.ok();
