--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -37,6 +37,8 @@
     pool_loads: scarcity::Gauges,
     target_pace: IntGauge,
     concurrency_limit: IntGauge,
+    target_cold: IntGauge,
+    held_back: IntCounter,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -91,6 +93,12 @@
             "monsoon_concurrency_limit",
             "Calls that may run on the own target at the same time.",
         )?;
+        let target_cold = gauge("monsoon_target_cold", "Whether the own target is cold.")?;
+        let held_back = IntCounter::new(
+            "monsoon_cold_held_back_total",
+            "Calls that waited or were refused because the own target is cold.",
+        )?;
+        registry.register(Box::new(held_back.clone()))?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -122,6 +130,8 @@
             pool_loads,
             target_pace,
             concurrency_limit,
+            target_cold,
+            held_back,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -165,6 +175,8 @@
         metrics.pool_loads.set(&dump.loads);
         metrics.target_pace.set(dump.target_pace.map_or(-1, i64::from));
         metrics.concurrency_limit.set(dump.concurrency_limit as i64);
+        metrics.target_cold.set(i64::from(dump.is_target_cold));
+        metrics.held_back.inc_by(dump.held_back_by_cold - metrics.held_back.get());
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         for kind in standing::Kind::ALL {
             let counter = metrics.refused_by_standing.with_label_values(&[kind.as_str()]);
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -31,6 +31,7 @@
             self.log_readiness(now);
             self.log_lag(now);
             self.log_scarcity(now);
+            self.watch_cold_target();
             for host in self.node.borrow().peers().stale_sources(now) {
                 let mesh = self.clone();
                 tokio::task::spawn_local(
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -26,6 +26,7 @@
 use {
     super::{
         announcement::{Announcement, Limit, Pace},
+        cold,
         demand::Meter,
         fact::{FactStore, Target},
         fleet::Fleet,
@@ -141,6 +142,8 @@
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     paced_pools: pace::Pools,
+    /// Until when targets are cold, by their entries.
+    cold_targets: BTreeMap<id::Vm, Instant>,
     gate: Gate,
     meter: Meter,
     tracker: Tracker,
@@ -178,6 +181,7 @@
             entry_refusals: standing::Refusals::default(),
             limited_targets: BTreeSet::new(),
             paced_pools: pace::Pools::default(),
+            cold_targets: BTreeMap::new(),
             gate: Gate::new(0),
             meter: Meter::default(),
             tracker: Tracker::default(),
@@ -231,6 +235,11 @@
         &mut self.gate
     }
 
+    /// Returns the bound on the local target while it is cold.
+    pub fn cold_guard(&self) -> &cold::Guard {
+        self.gate.cold()
+    }
+
     /// Returns the active runs of the local target.
     pub fn runs(&mut self) -> &mut ActiveRuns {
         &mut self.runs
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -41,6 +41,10 @@
     pub target_pace: Option<u32>,
     /// The number of calls that may run on the local target at the same time.
     pub concurrency_limit: usize,
+    /// Whether the local target is cold.
+    pub is_target_cold: bool,
+    /// The number of calls that the bound on a cold target has held back.
+    pub held_back_by_cold: u64,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
     /// The latest reported loads of pools under pressure.
@@ -65,6 +69,8 @@
             loads: self.pool_states(now),
             target_pace: self.gate.pace(now).map(Pace::percent),
             concurrency_limit: self.gate.concurrency_limit(),
+            is_target_cold: self.gate.cold().is_cold(now),
+            held_back_by_cold: self.gate.cold().held_back(),
             pools: self
                 .pickers
                 .iter()
--- a/lib/src/mesh/node/scarcity.rs
+++ b/lib/src/mesh/node/scarcity.rs
@@ -57,7 +57,7 @@
         if !self.settings.is_entry_admission_enabled {
             return Vec::new();
         }
-        let limits = self.limits();
+        let limits = self.limits(now);
         let own = self.meter.load(now, limits);
         let mut loads = route.map_or(Vec::new(), |route| self.tracker.loads_below(now, route));
         if own.is_under_pressure() {
@@ -134,10 +134,10 @@
         admitted
     }
 
-    fn limits(&self) -> Limits {
+    fn limits(&self, now: Instant) -> Limits {
         Limits {
             concurrency: self.gate.concurrency_limit(),
-            rate: self.gate.rate_limit(),
+            rate: self.gate.rate_limit(now),
             waiting: self.gate.waiting(),
             resend_ratio: f64::from(self.settings.resend_permille) / 1_000.0,
         }
