mesh: evacuated data centres get no new requests

The operator writes op/evacuate/ZONE, and until the key is deleted nothing more may be sent to the targets of that data centre. Evacuations are facts with positions and eras; targets of an evacuated data centre are left out of the picks, so they ramp up like new ones afterwards, and the gate beside them refuses new and queued calls as not run (reason evacuated, no-target on the wire).

Between nodes the evacuations in force travel in the supplement of each update. A node that follows one of an earlier version says that it does not know them, so a complete update without them takes nothing back.

Not run yet: the tests of daemon and platform.

--- a/daemon/src/http/problem.rs
+++ b/daemon/src/http/problem.rs
@@ -33,6 +33,7 @@
         Reason::Broken => StatusCode::BAD_GATEWAY,
         Reason::Cancelled
         | Reason::Crasher
+        | Reason::Evacuated
         | Reason::Leaving
         | Reason::NoTables
         | Reason::NoTarget
@@ -50,6 +51,7 @@
         Reason::Deadline => "The deadline does not leave enough time.",
         Reason::Depth => "The chain of calls is too deep.",
         Reason::Duplicate => "The idempotency key is in use or its result is not known.",
+        Reason::Evacuated => "The data centre of the target is evacuated.",
         Reason::Key => "The request has no valid key.",
         Reason::KeyReuse => "The idempotency key was used for another request.",
         Reason::Leaving => "The node is leaving.",
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -9,7 +9,7 @@
 
 mod supplement;
 
-pub use supplement::Supplement;
+pub use supplement::{EvacuationFact, Supplement};
 
 use {
     crate::http::message::Field,
@@ -138,6 +138,21 @@
     MayHaveRun(Reason),
 }
 
+impl RunResult {
+    /// Replaces the reason of a refusal that earlier versions do not know by one with the same
+    /// consequences for them.
+    pub fn for_peer(self) -> Self {
+        let replace = |refusal: Refusal| match refusal.reason {
+            Reason::Evacuated => Refusal { reason: Reason::NoTarget, ..refusal },
+            _ => refusal,
+        };
+        match self {
+            Self::Refused(refusal) => Self::Refused(replace(refusal)),
+            result => result,
+        }
+    }
+}
+
 /// A fact without its era and heartbeat, which are in the [`Extension`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct WireFact {
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -31,8 +31,9 @@
         cold_limits: Vec<(id::Pool, cold::Limit)>,
         /// The remaining cold times of those targets in the facts that are cold.
         cold_targets: Vec<ColdTarget>,
-        /// The changed evacuations of data centres.
-        evacuations: Vec<EvacuationFact>,
+        /// All evacuations of data centres that are in force, or `None` if the sender does not know
+        /// them because it follows a node of an earlier version.
+        evacuations: Option<Vec<EvacuationFact>>,
     },
 }
 
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -56,7 +56,6 @@
     /// The extension of the message, if it has one.
     pub extension: Option<Extension>,
     /// The supplement of the message, if it has one.
-    #[expect(dead_code, reason = "read by the parts of docs/design/uneven-load.md")]
     pub supplement: Option<Supplement>,
     /// The body that belongs to the message.
     pub body: Bytes,
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -27,6 +27,7 @@
     in_flight: IntGauge,
     waiting: IntGauge,
     peers: IntGauge,
+    evacuated: IntGauge,
     tables: IntGauge,
     facts_revision: IntGauge,
     store_revision: IntGauge,
@@ -61,6 +62,8 @@
         let in_flight = gauge("monsoon_in_flight", "Calls that run on the own target.")?;
         let waiting = gauge("monsoon_waiting", "Calls that wait for the own target.")?;
         let peers = gauge("monsoon_peers", "Known peers.")?;
+        let evacuated =
+            gauge("monsoon_evacuated_data_centres", "Data centres that are evacuated.")?;
         let tables = gauge("monsoon_tables_revision", "Revision of the tables in force.")?;
         let facts_revision = gauge(
             "monsoon_facts_revision",
@@ -88,6 +91,7 @@
             in_flight,
             waiting,
             peers,
+            evacuated,
             tables,
             facts_revision,
             store_revision,
@@ -123,6 +127,7 @@
         metrics.in_flight.set(dump.in_flight as i64);
         metrics.waiting.set(dump.waiting as i64);
         metrics.peers.set(dump.peers as i64);
+        metrics.evacuated.set(dump.evacuated.len() as i64);
         metrics.tables.set(dump.table.map_or(0, |revision| revision.0 as i64));
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -16,6 +16,7 @@
         call::{Reason, Refusal},
         id,
         mesh::{
+            evacuation::NO_TARGET_RETRY_AFTER,
             gate::{Decision, Release},
             lineage::Lineage,
             node::ForwardedRequest,
@@ -107,9 +108,13 @@
         match decision {
             Decision::Run => {}
             Decision::Queued(until) => self.wait_for_slot(call, until - now).await?,
-            Decision::Refused(wait) => return Err(overload_refusal(wait)),
+            Decision::Refused(wait) => return Err(self.gate_refusal(wait)),
         }
         slot.is_running = true;
+        if self.node.borrow_mut().gate().is_evacuated() {
+            // The evacuation began after the queue had released the call.
+            return Err(self.gate_refusal(NO_TARGET_RETRY_AFTER));
+        }
         if self.node.borrow().is_closed(clock::now(), &forwarded.target) {
             return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
         }
@@ -217,14 +222,29 @@
         self.start_pacing();
         match tokio::time::timeout(timeout, release).await {
             Ok(Ok(Release::Run(_))) => Ok(()),
-            Ok(Ok(Release::Refuse(_, wait))) => Err(overload_refusal(wait)),
+            Ok(Ok(Release::Refuse(_, wait))) => Err(self.gate_refusal(wait)),
             Ok(Err(_)) | Err(_) => {
                 let wait = self.node.borrow_mut().gate().retry_after(clock::now());
-                Err(overload_refusal(wait))
+                Err(self.gate_refusal(wait))
             }
         }
     }
 
+    /// Returns the refusal of a call that did not pass the gate.
+    fn gate_refusal(&self, wait: Duration) -> RunResult {
+        let reason = match self.node.borrow_mut().gate().is_evacuated() {
+            true => Reason::Evacuated,
+            false => Reason::Overload,
+        };
+        RunResult::Refused(Refusal::not_run(reason).after(wait))
+    }
+
+    /// Refuses the queued calls if the own data centre is evacuated.
+    pub fn refuse_evacuated_queue(self: &Rc<Self>) {
+        let releases = self.node.borrow_mut().gate().tick(clock::now());
+        self.deliver_releases(releases);
+    }
+
     /// Notifies queued calls that they were admitted or refused.
     fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
         for release in releases {
@@ -284,7 +304,3 @@
         }
     }
 }
-
-fn overload_refusal(wait: Duration) -> RunResult {
-    RunResult::Refused(Refusal::not_run(Reason::Overload).after(wait))
-}
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -201,7 +201,7 @@
         let mut node = link.mesh.node.borrow_mut();
         let load = Some(node.gate().report(clock::now()));
         PeerResponse::RunFinished {
-            result,
+            result: result.for_peer(),
             load,
             is_traced: node.runs().has_traced_locally(clock::now()),
         }
@@ -233,7 +233,7 @@
         }
     }
     let now = clock::now();
-    let (message, extension) = {
+    let (message, extension, supplement) = {
         let node = mesh.node.borrow();
         let update = node.facts().update_after(query.after, query.document);
         // A node that is cut off from the platform by itself knows nothing of an outage.
@@ -241,7 +241,7 @@
         let outage = node.fleet().last_outage().filter(|_| is_informed);
         let outage_age = outage.map(|at| now - at);
         let position = update.position.revision;
-        let (facts, extension) =
+        let (facts, extension, supplement) =
             replication::encode(update, outage_age.map(|age| age.as_millis() as u64));
         let message = PeerResponse::Facts {
             facts,
@@ -249,10 +249,10 @@
             is_reader: mesh.has_read_recently(now),
             confirmed_age_ms: node.lease().confirmed().map(|at| signed_age_ms(at, arrived)),
         };
-        (message, extension)
+        (message, extension, supplement)
     };
     link.runs.borrow_mut().remove(&number);
-    let attachments = Attachments { extension: Some(&extension), supplement: None };
+    let attachments = Attachments { extension: Some(&extension), supplement: Some(&supplement) };
     match frame::encode_with(number, message, attachments, Bytes::new()) {
         // If the link broke meanwhile, nobody waits for the response.
         Ok(frame) => drop(link.frames.send(frame)),
--- a/daemon/src/mesh/replication.rs
+++ b/daemon/src/mesh/replication.rs
@@ -1,13 +1,14 @@
 //! The exchange of facts between nodes.
 //!
 //! Earlier versions know revisions but no eras of the platform's store, so facts are sent in their
-//! format, with what they lack in an extension that they ignore. See docs/design/platform.md.
+//! format, with what they lack in an extension and a supplement that they ignore. See
+//! docs/design/platform.md.
 
 use {
-    super::frame::{Extension, FactOrigin, WireFact},
+    super::frame::{EvacuationFact, Extension, FactOrigin, Supplement, WireFact},
     monsoon_lib::{
         mesh::{
-            fact::{Fact, Update},
+            fact::{Fact, Heartbeat, Key, Update, Value},
             position::{Era, Position},
         },
         unit::Revision,
@@ -41,8 +42,18 @@
     }
 }
 
-/// Splits an update into the facts as earlier versions know them and an extension.
-pub fn encode(update: Update, outage_age_ms: Option<u64>) -> (Vec<WireFact>, Extension) {
+/// Splits an update into the facts as earlier versions know them, an extension and a supplement.
+pub fn encode(
+    mut update: Update,
+    outage_age_ms: Option<u64>,
+) -> (Vec<WireFact>, Extension, Supplement) {
+    let evacuations = || update.facts.iter().filter_map(encode_evacuation).collect();
+    let supplement = Supplement::Facts {
+        cold_limits: Vec::new(),
+        cold_targets: Vec::new(),
+        evacuations: update.has_evacuations.then(evacuations),
+    };
+    update.facts.retain(|fact| !matches!(fact.key, Key::Evacuation(_)));
     let origins = update
         .facts
         .iter()
@@ -58,11 +69,40 @@
         revision: fact.position.revision,
         value: fact.value,
     });
-    (facts.collect(), extension)
+    (facts.collect(), extension, supplement)
 }
 
-/// Joins facts and extension to an update. Facts of earlier versions belong to the first era.
-pub fn decode(facts: Vec<WireFact>, position: Revision, extension: Option<&Extension>) -> Update {
+fn encode_evacuation(fact: &Fact) -> Option<EvacuationFact> {
+    let Key::Evacuation(data_centre) = &fact.key else { return None };
+    Some(EvacuationFact {
+        data_centre: data_centre.clone(),
+        era: fact.position.era,
+        revision: fact.position.revision,
+        is_active: fact.value == Value::Evacuated,
+    })
+}
+
+fn decode_evacuation(fact: &EvacuationFact) -> Fact {
+    Fact {
+        key: Key::Evacuation(fact.data_centre.clone()),
+        position: Position::new(fact.era, fact.revision),
+        heartbeat: Heartbeat::default(),
+        value: if fact.is_active { Value::Evacuated } else { Value::Removed },
+    }
+}
+
+/// Joins facts, extension and supplement to an update. Facts of earlier versions belong to the first
+/// era.
+pub fn decode(
+    facts: Vec<WireFact>,
+    position: Revision,
+    extension: Option<&Extension>,
+    supplement: Option<&Supplement>,
+) -> Update {
+    let evacuations = match supplement {
+        Some(Supplement::Facts { evacuations, .. }) => evacuations.as_deref(),
+        _ => None,
+    };
     let (era, origins, is_complete) = match extension {
         Some(Extension::Update { era, origins, is_complete, .. }) => {
             (*era, origins.as_slice(), *is_complete)
@@ -78,5 +118,53 @@
             value: fact.value,
         }
     });
-    Update { facts: joined.collect(), position: Position::new(era, position), is_complete }
+    Update {
+        facts: joined.chain(evacuations.into_iter().flatten().map(decode_evacuation)).collect(),
+        position: Position::new(era, position),
+        is_complete,
+        has_evacuations: evacuations.is_some(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::{decode, encode},
+        monsoon_lib::{
+            mesh::{
+                fact::{Fact, Heartbeat, Key, Update, Value},
+                position::{Era, Position},
+            },
+            unit::Revision,
+        },
+    };
+
+    fn fact(key: Key, revision: u64, value: Value) -> Fact {
+        let position = Position::new(Era(2), Revision(revision));
+        Fact { key, position, heartbeat: Heartbeat { started_at_ms: revision, sequence: 1 }, value }
+    }
+
+    /// An evacuation in the list of facts would make the message unreadable for earlier versions,
+    /// and would shift the origins of the facts behind it.
+    #[test]
+    fn evacuation_apart() {
+        let name = "t1".parse().expect("a name");
+        let target = fact(Key::Target(name), 7, Value::Removed);
+        let zone = Key::Evacuation("za".parse().expect("a name"));
+        let evacuation =
+            Fact { heartbeat: Heartbeat::default(), ..fact(zone, 5, Value::Evacuated) };
+        let update = Update {
+            facts: vec![evacuation.clone(), target.clone()],
+            position: Position::new(Era(2), Revision(9)),
+            is_complete: true,
+            has_evacuations: true,
+        };
+        let (facts, extension, supplement) = encode(update.clone(), None);
+        assert_eq!(facts.len(), 1);
+        let position = update.position.revision;
+        let known = decode(facts.clone(), position, Some(&extension), Some(&supplement));
+        assert_eq!(known, Update { facts: vec![target.clone(), evacuation], ..update.clone() });
+        let earlier = decode(facts, position, Some(&extension), None);
+        assert_eq!(earlier, Update { facts: vec![target], has_evacuations: false, ..update });
+    }
 }
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -156,6 +156,9 @@
         if let Some(revision) = changes.table {
             log::info!(revision:% = revision, from; "tables in force");
         }
+        if changes.has_evacuation_changes {
+            self.refuse_evacuated_queue();
+        }
         if changes.has_target_changes {
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
@@ -391,7 +394,8 @@
         let has_tables = self.node.borrow().table().is_some();
         let is_source = has_tables && self.source() == Source::Peer(host);
         let is_recheck = self.node.borrow().peers().stale_sources(now).contains(&host);
-        let update = replication::decode(facts, position, response.extension.as_ref());
+        let (extension, supplement) = (response.extension.as_ref(), response.supplement.as_ref());
+        let update = replication::decode(facts, position, extension, supplement);
         let changes = {
             let mut node = self.node.borrow_mut();
             node.peers_mut().record_contact(now, host, None);
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -74,6 +74,9 @@
     Context,
     /// The chain of nested calls is too deep.
     Depth,
+    /// The operator has evacuated the data centre of the target. Nodes of earlier versions do not
+    /// know this reason, so they are told [`Reason::NoTarget`].
+    Evacuated,
 }
 
 impl Reason {
@@ -97,11 +100,12 @@
             Self::KeyReuse => "key-reuse",
             Self::Context => "context",
             Self::Depth => "depth",
+            Self::Evacuated => "evacuated",
         }
     }
 
     /// All reasons.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoRoute,
         Self::Key,
         Self::Malformed,
@@ -119,11 +123,15 @@
         Self::KeyReuse,
         Self::Context,
         Self::Depth,
+        Self::Evacuated,
     ];
 
     /// Returns whether a request that did not run may succeed on another target.
     pub const fn is_retryable(self) -> bool {
-        matches!(self, Self::Overload | Self::NoTarget | Self::Leaving | Self::Broken)
+        matches!(
+            self,
+            Self::Overload | Self::NoTarget | Self::Leaving | Self::Broken | Self::Evacuated
+        )
     }
 }
 
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -6,6 +6,7 @@
 
 pub mod announcement;
 pub mod cold;
+pub mod evacuation;
 pub mod fact;
 pub mod fleet;
 pub mod gate;
--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -47,6 +47,9 @@
     Document,
     /// The entry of the target with this name.
     Target(id::Vm),
+    /// The evacuation of a data centre. Earlier versions do not know it, so between nodes it
+    /// travels outside of the list of facts.
+    Evacuation(id::DataCentre),
 }
 
 /// The value of a fact.
@@ -58,6 +61,8 @@
     Target(Target),
     /// The entry was removed, or its value is no longer usable.
     Removed,
+    /// The data centre is evacuated.
+    Evacuated,
 }
 
 /// How far a target has come in its life, as it publishes about itself. Later entries of the same
@@ -77,7 +82,7 @@
     pub key: Key,
     /// Where in the store's history the value was written.
     pub position: Position,
-    /// The last known heartbeat of the target. Zero for the document.
+    /// The last known heartbeat of the target. Zero for other keys.
     pub heartbeat: Heartbeat,
     /// The value at this position.
     pub value: Value,
@@ -123,6 +128,9 @@
     pub position: Position,
     /// Whether these are all facts, so that targets without a fact are gone.
     pub is_complete: bool,
+    /// Whether the facts contain all evacuations that are in force at the position, so that others
+    /// were taken back. A node that follows one of an earlier version does not know them.
+    pub has_evacuations: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -138,6 +146,8 @@
     position: Position,
     /// The position since which all removals are known.
     history_start: Position,
+    /// Whether all evacuations that are in force at `position` are known.
+    has_evacuations: bool,
 }
 
 impl FactStore {
@@ -151,6 +161,22 @@
         self.position = self.position.max(to);
     }
 
+    /// Records that all facts up to a position were received, with or without the evacuations.
+    pub fn record_evacuations(&mut self, position: Position, has_evacuations: bool) {
+        if position > self.position || (has_evacuations && position == self.position) {
+            self.has_evacuations = has_evacuations;
+        }
+    }
+
+    /// Returns whether an update of a peer up to `position` shows the evacuation as it was before it
+    /// was taken back. Its tombstone may have been dropped since.
+    pub fn is_outdated_evacuation(&self, fact: &Fact, position: Position) -> bool {
+        matches!(fact.key, Key::Evacuation(_))
+            && self.has_evacuations
+            && position < self.position
+            && fact.position <= self.position
+    }
+
     /// Inserts a fact unless the store has a newer one. Returns whether the value of the key
     /// changed.
     ///
@@ -177,19 +203,20 @@
         is_changed
     }
 
-    /// Returns removals of the stored targets that a complete listing does not contain.
+    /// Returns removals of the stored targets and evacuations that a complete listing does not
+    /// contain.
     ///
-    /// `listed` are the keys of the listing and `position` is where it was made. Targets with a
+    /// `listed` are the keys of the listing and `position` is where it was made. Those with a
     /// later position are kept.
     pub fn missing_from(&self, listed: &BTreeSet<&Key>, position: Position) -> Vec<Fact> {
         let is_missing = |entry: &&Entry| {
             let is_present = entry.fact.value != Value::Removed;
             is_present && entry.fact.position <= position && !listed.contains(&entry.fact.key)
         };
-        let targets = self.entries.values().filter(|entry| entry.fact.key != Key::Document);
+        let others = self.entries.values().filter(|entry| entry.fact.key != Key::Document);
         let removal =
             |entry: &Entry| Fact { position, value: Value::Removed, ..entry.fact.clone() };
-        targets.filter(is_missing).map(removal).collect()
+        others.filter(is_missing).map(removal).collect()
     }
 
     /// Records that the store has just become complete without knowledge of earlier removals.
@@ -198,12 +225,16 @@
     }
 
     /// Returns the facts that a peer lacks which is complete up to `after` and has the operator's
-    /// document of the given revision.
+    /// document of the given revision. Evacuations in force are part of each update, because
+    /// the peer may be complete by the facts of an earlier version, which has none.
     pub fn update_after(&self, after: Position, document: Revision) -> Update {
         let is_complete = after < self.history_start || after.era < self.position.era;
+        let is_evacuation = |fact: &Fact| matches!(fact.key, Key::Evacuation(_));
         let is_missing = |fact: &Fact| match &fact.value {
             // After a restore the newer document may have the older position.
             Value::Document(stored) => stored.revision > document || fact.position > after,
+            Value::Evacuated => true,
+            Value::Removed if is_evacuation(fact) => false,
             _ => is_complete || fact.position > after,
         };
         let facts = self.entries.values().map(|entry| &entry.fact);
@@ -211,6 +242,7 @@
             facts: facts.filter(|fact| is_missing(fact)).cloned().collect(),
             position: self.position,
             is_complete,
+            has_evacuations: self.has_evacuations,
         }
     }
 
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -9,7 +9,7 @@
 //! limit is kept here, whichever nodes the requests come from.
 
 use {
-    super::{announcement::Limit, throttle::Throttle},
+    super::{announcement::Limit, evacuation::NO_TARGET_RETRY_AFTER, throttle::Throttle},
     crate::{id, pressure, time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{
@@ -102,6 +102,7 @@
     mean_latency_s: f64,
     throttle: Option<Throttle>,
     has_response: bool,
+    is_evacuated: bool,
 }
 
 impl Gate {
@@ -115,6 +116,7 @@
             mean_latency_s: INITIAL_MEAN_LATENCY_S,
             throttle: None,
             has_response: false,
+            is_evacuated: false,
         }
     }
 
@@ -123,6 +125,17 @@
         self.slots = slots as usize;
     }
 
+    /// Sets whether the data centre of the target is evacuated. New calls are refused then, and the
+    /// next [`Gate::tick`] refuses the queued ones. Calls in flight are not affected.
+    pub fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+    }
+
+    /// Returns whether calls are refused because the data centre of the target is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Forgets what the target said, since another instance has taken its place.
     pub fn forget_target(&mut self) {
         self.throttle = None;
@@ -150,6 +163,9 @@
 
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
+        if self.is_evacuated {
+            return Decision::Refused(NO_TARGET_RETRY_AFTER);
+        }
         if self.queue.is_empty() && self.try_start(now) {
             self.running.insert(call);
             return Decision::Run;
@@ -198,13 +214,13 @@
         Some(now + throttle.wait(now, 0))
     }
 
-    /// Refuses calls that waited too long, and starts queued calls while there are free slots.
+    /// Refuses calls that waited too long, or all if the data centre is evacuated, and starts queued calls while there are free slots.
     pub fn tick(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = Vec::new();
         let expired: Vec<QueueKey> = self
             .queue
             .iter()
-            .filter(|(_, refuse_at)| **refuse_at <= now)
+            .filter(|(_, refuse_at)| self.is_evacuated || **refuse_at <= now)
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
@@ -285,6 +301,9 @@
     /// Returns the retry delay for refused callers: twice the expected time to drain the queue.
     /// By then there is room again, unless new calls have arrived.
     pub fn retry_after(&self, now: Instant) -> Duration {
+        if self.is_evacuated {
+            return NO_TARGET_RETRY_AFTER;
+        }
         (self.expected_wait(now, self.queue.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -23,6 +23,7 @@
 use {
     super::{
         announcement::{Announcement, Limit},
+        evacuation::Evacuations,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -120,6 +121,7 @@
     table: Option<Arc<Table>>,
     lease: Lease,
     fleet: Fleet,
+    evacuations: Evacuations,
     peers: Peers,
     pickers: BTreeMap<id::Pool, Picker>,
     resend_budgets: BTreeMap<id::Pool, ResendBudget>,
@@ -148,6 +150,7 @@
             table: None,
             lease: Lease::new(settings.withdrawal),
             fleet: Fleet::default(),
+            evacuations: Evacuations::default(),
             peers: Peers::new(settings.host, settings.data_centre.clone()),
             pickers: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
@@ -195,6 +198,19 @@
         &self.fleet
     }
 
+    /// Returns the evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether the local target is in an evacuated data centre, by the settings of the node
+    /// or by the entry of the target.
+    fn is_own_evacuated(&self) -> bool {
+        let own = self.fleet.by_address(self.settings.target);
+        let listed = own.is_some_and(|target| self.evacuations.contains(&target.data_centre));
+        listed || self.evacuations.contains(&self.settings.data_centre)
+    }
+
     /// Returns the known peers.
     pub fn peers(&self) -> &Peers {
         &self.peers
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,14 +10,12 @@
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
-        mesh::{gate::Rank, table::Route},
+        mesh::{evacuation::NO_TARGET_RETRY_AFTER, gate::Rank, table::Route},
         time::Instant,
     },
     std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
 };
 
-/// The retry delay given to callers when no target could take the request.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The shortest time that a target needs. A request with less time left is not sent.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 /// The retry delay is limited to the caller's remaining time divided by this number.
@@ -81,7 +79,7 @@
 }
 
 impl Node {
-    /// Selects the target of the next attempt. Peers in `unresponsive` have not answered in time;
+    /// Selects the target of the next attempt, never one of an evacuated data centre. Peers in `unresponsive` have not answered in time;
     /// they are used only if there is no other, and only for idempotent requests: of a request
     /// that is sent to a peer behind a partition nobody knows whether it ran.
     ///
@@ -264,7 +262,12 @@
         AttemptResult::Answered { has_failed: true } => CallResult::Failed,
         AttemptResult::Refused(refusal) | AttemptResult::Declined(refusal) => match refusal.outcome
         {
-            Outcome::NotRun if matches!(refusal.reason, Reason::Overload | Reason::Leaving) => {
+            Outcome::NotRun
+                if matches!(
+                    refusal.reason,
+                    Reason::Overload | Reason::Leaving | Reason::Evacuated
+                ) =>
+            {
                 CallResult::Shed
             }
             _ => CallResult::Broken,
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -27,6 +27,8 @@
     pub confirmed_age_ms: Option<u64>,
     /// The number of targets.
     pub targets: usize,
+    /// The evacuated data centres.
+    pub evacuated: Vec<id::DataCentre>,
     /// The number of peers.
     pub peers: usize,
     /// The number of calls running on the local target.
@@ -49,6 +51,7 @@
             store: self.lag.latest(),
             confirmed_age_ms: self.lease.age(now).map(|age| age.as_millis() as u64),
             targets: self.fleet.iter().count(),
+            evacuated: self.evacuations.iter().cloned().collect(),
             peers: self.peers.len(),
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -35,6 +35,8 @@
     pub table: Option<Revision>,
     /// Whether targets were added, removed or changed.
     pub has_target_changes: bool,
+    /// Whether evacuations of data centres began or ended.
+    pub has_evacuation_changes: bool,
 }
 
 impl Node {
@@ -48,34 +50,50 @@
         }
         self.facts.advance_position(position);
         self.lag.record_facts(self.facts.position());
-        if changes.has_target_changes || changes.table.is_some() {
+        let Changes { table, has_target_changes, has_evacuation_changes } = changes;
+        if has_target_changes || has_evacuation_changes || table.is_some() {
             self.refresh(now);
         }
         changes
     }
 
-    /// Applies a complete listing of the platform or of a peer. Targets that it does not contain
-    /// are removed.
+    /// Applies a complete listing of the platform. Targets that it does not contain are removed, and
+    /// evacuations that it does not contain are taken back.
     pub fn apply_listing(&mut self, now: Instant, facts: &[Fact], position: Position) -> Changes {
-        let listed: BTreeSet<&Key> = facts.iter().map(|fact| &fact.key).collect();
-        let missing = self.facts.missing_from(&listed, position);
-        if self.facts.position() == Position::default() {
-            self.facts.start_history(position);
-        }
-        // A peer that has just started has no facts and knows no era.
-        if position != Position::default() {
-            self.record_era(now, position.era);
-        }
-        let all: Vec<Fact> = facts.iter().cloned().chain(missing).collect();
-        self.apply(now, &all, position)
+        let (is_complete, has_evacuations) = (true, true);
+        let update = Update { facts: facts.to_vec(), position, is_complete, has_evacuations };
+        self.apply_missing(now, &update, true)
     }
 
     /// Applies what a peer sent.
     pub fn apply_update(&mut self, now: Instant, update: &Update) -> Changes {
-        match update.is_complete && update.position >= self.facts.position() {
-            true => self.apply_listing(now, &update.facts, update.position),
-            false => self.apply(now, &update.facts, self.facts.position().max(update.position)),
+        let is_listing = update.is_complete && update.position >= self.facts.position();
+        self.apply_missing(now, update, is_listing)
+    }
+
+    /// Applies facts and what follows from those that they lack: if they are a listing, other
+    /// targets are gone.
+    fn apply_missing(&mut self, now: Instant, update: &Update, is_listing: bool) -> Changes {
+        let Update { facts, position, has_evacuations, .. } = update;
+        let listed: BTreeSet<&Key> = facts.iter().map(|fact| &fact.key).collect();
+        let mut missing = self.facts.missing_from(&listed, *position);
+        missing.retain(|fact| match fact.key {
+            Key::Evacuation(_) => *has_evacuations,
+            Key::Document | Key::Target(_) => is_listing,
+        });
+        let is_current = |fact: &&Fact| !self.facts.is_outdated_evacuation(fact, *position);
+        let all: Vec<Fact> = facts.iter().filter(is_current).cloned().chain(missing).collect();
+        self.facts.record_evacuations(*position, *has_evacuations);
+        if is_listing {
+            if self.facts.position() == Position::default() {
+                self.facts.start_history(*position);
+            }
+            // A peer that has just started has no facts and knows no era.
+            if *position != Position::default() {
+                self.record_era(now, position.era);
+            }
         }
+        self.apply(now, &all, self.facts.position().max(*position))
     }
 
     /// Records the era of an answer of the store. Returns whether the store was restored from a copy
@@ -157,6 +175,24 @@
                 changes.has_target_changes = true;
                 self.fleet.remove(now, name);
             }
+            (Key::Evacuation(data_centre), Value::Evacuated) => {
+                if self.evacuations.begin(data_centre, fact.position) {
+                    changes.has_evacuation_changes = true;
+                    log::info!(
+                        data_centre = data_centre.as_str(), position:% = fact.position;
+                        "evacuation of a data centre began"
+                    );
+                }
+            }
+            (Key::Evacuation(data_centre), Value::Removed) => {
+                if self.evacuations.end(data_centre) {
+                    changes.has_evacuation_changes = true;
+                    log::info!(
+                        data_centre = data_centre.as_str(), position:% = fact.position;
+                        "evacuation of a data centre was taken back"
+                    );
+                }
+            }
             (key, value) => log::warn!("ignored a mismatched fact: {key:?}, {value:?}"),
         }
     }
@@ -172,8 +208,12 @@
                 self.gate.forget_target();
             }
         }
+        self.gate.set_evacuated(self.is_own_evacuated());
         let mut listed: BTreeMap<id::Pool, Vec<balance::TargetInfo>> = BTreeMap::new();
-        for target in self.fleet.iter() {
+        // Targets of evacuated data centres are not listed, so they are not picked for first sends
+        // or resends, and ramp up like new ones afterwards.
+        let is_usable = |target: &&Target| !self.evacuations.contains(&target.data_centre);
+        for target in self.fleet.iter().filter(is_usable) {
             listed.entry(target.pool.clone()).or_default().push(balance::TargetInfo {
                 vm: target.name.clone(),
                 data_centre: target.data_centre.clone(),
--- a/lib/src/node/dispatch.rs
+++ b/lib/src/node/dispatch.rs
@@ -339,7 +339,7 @@
 pub(super) fn result_of_refusal(refusal: &Refusal) -> CallResult {
     match refusal.reason {
         Reason::Broken | Reason::NoTarget => CallResult::Broken,
-        Reason::Overload | Reason::Leaving => CallResult::Shed,
+        Reason::Overload | Reason::Leaving | Reason::Evacuated => CallResult::Shed,
         Reason::Deadline if refusal.outcome == Outcome::Unknown => CallResult::Failed,
         _ => CallResult::Cancelled,
     }
