--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -218,6 +218,7 @@
         let load = Some(node.gate().report(now));
         let loads = node.reported_loads(now, forwarded.route.as_ref());
         let is_traced = node.runs().has_traced_locally(now);
+        let result = result.for_peer();
         (PeerResponse::RunFinished { result, load, is_traced }, Supplement::of_loads(loads))
     };
     send_response_with(&link, number, response, supplement.as_ref(), body);
@@ -255,8 +256,7 @@
         let outage = node.fleet().last_outage().filter(|_| is_informed);
         let outage_age = outage.map(|at| now - at);
         let position = update.position.revision;
-        let supplement = replication::supplement(&update);
-        let (facts, extension) =
+        let (facts, extension, supplement) =
             replication::encode(update, outage_age.map(|age| age.as_millis() as u64));
         let message = PeerResponse::Facts {
             facts,
@@ -267,7 +267,7 @@
         (message, extension, supplement)
     };
     link.runs.borrow_mut().remove(&number);
-    let attachments = Attachments { extension: Some(&extension), supplement: supplement.as_ref() };
+    let attachments = Attachments { extension: Some(&extension), supplement: Some(&supplement) };
     match frame::encode_with(number, message, attachments, Bytes::new()) {
         // If the link broke meanwhile, nobody waits for the response.
         Ok(frame) => drop(link.frames.send(frame)),
--- a/daemon/src/mesh/replication.rs
+++ b/daemon/src/mesh/replication.rs
@@ -1,15 +1,16 @@
 //! The exchange of facts between nodes.
 //!
 //! Earlier versions know revisions but no eras of the platform's store, so facts are sent in their
-//! format, with what they lack in an extension that they ignore. See docs/design/platform.md.
+//! format, with what they lack in an extension and a supplement that they ignore. See
+//! docs/design/platform.md.
 
 use {
-    super::frame::{ColdTarget, Extension, FactOrigin, Supplement, WireFact},
+    super::frame::{ColdTarget, EvacuationFact, Extension, FactOrigin, Supplement, WireFact},
     monsoon_lib::{
         id,
         mesh::{
             cold,
-            fact::{Fact, Update, Value},
+            fact::{Fact, Heartbeat, Key, Update, Value},
             position::{Era, Position},
         },
         unit::Revision,
@@ -44,8 +45,13 @@
     }
 }
 
-/// Splits an update into the facts as earlier versions know them and an extension.
-pub fn encode(update: Update, outage_age_ms: Option<u64>) -> (Vec<WireFact>, Extension) {
+/// Splits an update into the facts as earlier versions know them, an extension and a supplement.
+pub fn encode(
+    mut update: Update,
+    outage_age_ms: Option<u64>,
+) -> (Vec<WireFact>, Extension, Supplement) {
+    let supplement = supplement(&update);
+    update.facts.retain(|fact| !matches!(fact.key, Key::Evacuation(_)));
     let origins = update
         .facts
         .iter()
@@ -61,34 +67,32 @@
         revision: fact.position.revision,
         value: fact.value,
     });
-    (facts.collect(), extension)
+    (facts.collect(), extension, supplement)
 }
 
-/// Returns what an update holds beyond the format of its facts. An update with a document always has
-/// a supplement, by which the peer knows that the document is complete.
-pub fn supplement(update: &Update) -> Option<Supplement> {
+/// Returns what an update holds beyond the format of its facts. Every update has a supplement, by
+/// which the peer knows that its document is complete.
+fn supplement(update: &Update) -> Supplement {
     let values = || update.facts.iter().map(|fact| &fact.value);
     let document = values().find_map(|value| match value {
         Value::Document(document) => Some(document),
         _ => None,
     });
-    let cold_targets: Vec<ColdTarget> = values()
-        .filter_map(|value| match value {
-            Value::Target(target) if !target.cold_remaining.is_zero() => Some(ColdTarget {
-                target: target.name.clone(),
-                remaining_ms: ceil_millis(target.cold_remaining),
-            }),
-            _ => None,
-        })
-        .collect();
-    let is_needed = document.is_some() || !cold_targets.is_empty();
-    is_needed.then(|| Supplement::Facts {
+    let cold_target = |value: &Value| match value {
+        Value::Target(target) if !target.cold_remaining.is_zero() => Some(ColdTarget {
+            target: target.name.clone(),
+            remaining_ms: ceil_millis(target.cold_remaining),
+        }),
+        _ => None,
+    };
+    let evacuations = || update.facts.iter().filter_map(encode_evacuation).collect();
+    Supplement::Facts {
         cold_limits: document.map_or_else(Vec::new, |document| {
             document.cold.iter().map(|(pool, limit)| (pool.clone(), *limit)).collect()
         }),
-        cold_targets,
-        evacuations: Vec::new(),
-    })
+        cold_targets: values().filter_map(cold_target).collect(),
+        evacuations: update.has_evacuations.then(evacuations),
+    }
 }
 
 /// Completes the facts of an update with its supplement.
@@ -104,7 +108,7 @@
                 let remaining_ms = remaining.get(&target.name).copied().unwrap_or(0);
                 target.cold_remaining = Duration::from_millis(remaining_ms);
             }
-            Value::Removed => {}
+            Value::Evacuated | Value::Removed => {}
         }
     }
 }
@@ -113,6 +117,25 @@
     duration.as_nanos().div_ceil(1_000_000).try_into().unwrap_or(u64::MAX)
 }
 
+fn encode_evacuation(fact: &Fact) -> Option<EvacuationFact> {
+    let Key::Evacuation(data_centre) = &fact.key else { return None };
+    Some(EvacuationFact {
+        data_centre: data_centre.clone(),
+        era: fact.position.era,
+        revision: fact.position.revision,
+        is_active: fact.value == Value::Evacuated,
+    })
+}
+
+fn decode_evacuation(fact: &EvacuationFact) -> Fact {
+    Fact {
+        key: Key::Evacuation(fact.data_centre.clone()),
+        position: Position::new(fact.era, fact.revision),
+        heartbeat: Heartbeat::default(),
+        value: if fact.is_active { Value::Evacuated } else { Value::Removed },
+    }
+}
+
 /// Joins facts, extension and supplement to an update. Facts of earlier versions belong to the first
 /// era.
 pub fn decode(
@@ -121,6 +144,10 @@
     extension: Option<&Extension>,
     supplement: Option<&Supplement>,
 ) -> Update {
+    let evacuations = match supplement {
+        Some(Supplement::Facts { evacuations, .. }) => evacuations.as_deref(),
+        _ => None,
+    };
     let (era, origins, is_complete) = match extension {
         Some(Extension::Update { era, origins, is_complete, .. }) => {
             (*era, origins.as_slice(), *is_complete)
@@ -138,5 +165,54 @@
     });
     let mut facts: Vec<Fact> = joined.collect();
     complete(&mut facts, supplement);
-    Update { facts, position: Position::new(era, position), is_complete }
+    facts.extend(evacuations.into_iter().flatten().map(decode_evacuation));
+    Update {
+        facts,
+        position: Position::new(era, position),
+        is_complete,
+        has_evacuations: evacuations.is_some(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::{decode, encode},
+        monsoon_lib::{
+            mesh::{
+                fact::{Fact, Heartbeat, Key, Update, Value},
+                position::{Era, Position},
+            },
+            unit::Revision,
+        },
+    };
+
+    fn fact(key: Key, revision: u64, value: Value) -> Fact {
+        let position = Position::new(Era(2), Revision(revision));
+        Fact { key, position, heartbeat: Heartbeat { started_at_ms: revision, sequence: 1 }, value }
+    }
+
+    /// An evacuation in the list of facts would make the message unreadable for earlier versions,
+    /// and would shift the origins of the facts behind it.
+    #[test]
+    fn evacuation_apart() {
+        let name = "t1".parse().expect("a name");
+        let target = fact(Key::Target(name), 7, Value::Removed);
+        let zone = Key::Evacuation("za".parse().expect("a name"));
+        let evacuation =
+            Fact { heartbeat: Heartbeat::default(), ..fact(zone, 5, Value::Evacuated) };
+        let update = Update {
+            facts: vec![evacuation.clone(), target.clone()],
+            position: Position::new(Era(2), Revision(9)),
+            is_complete: true,
+            has_evacuations: true,
+        };
+        let (facts, extension, supplement) = encode(update.clone(), None);
+        assert_eq!(facts.len(), 1);
+        let position = update.position.revision;
+        let known = decode(facts.clone(), position, Some(&extension), Some(&supplement));
+        assert_eq!(known, Update { facts: vec![target.clone(), evacuation], ..update.clone() });
+        let earlier = decode(facts, position, Some(&extension), None);
+        assert_eq!(earlier, Update { facts: vec![target], has_evacuations: false, ..update });
+    }
 }
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -157,6 +157,9 @@
             log::info!(revision:% = revision, from; "tables in force");
         }
         self.watch_cold_target();
+        if changes.has_evacuation_changes {
+            self.refuse_evacuated_queue();
+        }
         if changes.has_target_changes {
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
@@ -392,8 +395,8 @@
         let has_tables = self.node.borrow().table().is_some();
         let is_source = has_tables && self.source() == Source::Peer(host);
         let is_recheck = self.node.borrow().peers().stale_sources(now).contains(&host);
-        let supplement = response.supplement.as_ref();
-        let update = replication::decode(facts, position, response.extension.as_ref(), supplement);
+        let (extension, supplement) = (response.extension.as_ref(), response.supplement.as_ref());
+        let update = replication::decode(facts, position, extension, supplement);
         if supplement.is_none() && update.facts.iter().any(|fact| fact.key == Key::Document) {
             // A peer of an earlier version does not know the bounds on cold targets.
             self.is_read_due.set(true);
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -14,6 +14,7 @@
     super::{
         announcement::{Limit, Pace},
         cold,
+        evacuation::NO_TARGET_RETRY_AFTER,
         knee::{self, Knee},
         pace,
         throttle::Throttle,
@@ -109,6 +110,7 @@
     throttle: Option<Throttle>,
     cold: cold::Guard,
     has_response: bool,
+    is_evacuated: bool,
 }
 
 impl Gate {
@@ -124,6 +126,7 @@
             throttle: None,
             cold: cold::Guard::default(),
             has_response: false,
+            is_evacuated: false,
         }
     }
 
@@ -145,6 +148,17 @@
         self.slots = slots as usize;
     }
 
+    /// Sets whether the data centre of the target is evacuated. New calls are refused then, and the
+    /// next [`Gate::tick`] refuses the queued ones. Calls in flight are not affected.
+    pub fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+    }
+
+    /// Returns whether calls are refused because the data centre of the target is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Forgets what the target said, since another instance has taken its place.
     pub fn forget_target(&mut self) {
         self.throttle = None;
@@ -196,6 +210,9 @@
 
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
+        if self.is_evacuated {
+            return Decision::Refused(NO_TARGET_RETRY_AFTER);
+        }
         if self.queue.is_empty() && self.try_start(now) {
             self.running.insert(call);
             return Decision::Run;
@@ -250,13 +267,13 @@
         is_waiting.then(|| now + self.rate_wait(now, 0))
     }
 
-    /// Refuses calls that waited too long, and starts queued calls while there are free slots.
+    /// Refuses calls that waited too long, or all if the data centre is evacuated, and starts queued calls while there are free slots.
     pub fn tick(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = Vec::new();
         let expired: Vec<QueueKey> = self
             .queue
             .iter()
-            .filter(|(_, refuse_at)| **refuse_at <= now)
+            .filter(|(_, refuse_at)| self.is_evacuated || **refuse_at <= now)
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
@@ -362,6 +379,9 @@
     /// Returns the retry delay for refused callers: twice the expected time to drain the queue.
     /// By then there is room again, unless new calls have arrived.
     pub fn retry_after(&self, now: Instant) -> Duration {
+        if self.is_evacuated {
+            return NO_TARGET_RETRY_AFTER;
+        }
         (self.expected_wait(now, self.queue.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -28,6 +28,7 @@
         announcement::{Announcement, Limit, Pace},
         cold,
         demand::Meter,
+        evacuation::Evacuations,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -131,6 +132,7 @@
     table: Option<Arc<Table>>,
     lease: Lease,
     fleet: Fleet,
+    evacuations: Evacuations,
     peers: Peers,
     pickers: BTreeMap<id::Pool, Picker>,
     resend_budgets: BTreeMap<id::Pool, ResendBudget>,
@@ -167,6 +169,7 @@
             table: None,
             lease: Lease::new(settings.withdrawal),
             fleet: Fleet::default(),
+            evacuations: Evacuations::default(),
             peers: Peers::new(settings.host, settings.data_centre.clone()),
             pickers: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
@@ -220,6 +223,19 @@
         &self.fleet
     }
 
+    /// Returns the evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether the local target is in an evacuated data centre, by the settings of the node
+    /// or by the entry of the target.
+    fn is_own_evacuated(&self) -> bool {
+        let own = self.fleet.by_address(self.settings.target);
+        let listed = own.is_some_and(|target| self.evacuations.contains(&target.data_centre));
+        listed || self.evacuations.contains(&self.settings.data_centre)
+    }
+
     /// Returns the known peers.
     pub fn peers(&self) -> &Peers {
         &self.peers
