--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -29,6 +29,7 @@
     in_flight: IntGauge,
     waiting: IntGauge,
     peers: IntGauge,
+    evacuated: IntGauge,
     tables: IntGauge,
     facts_revision: IntGauge,
     store_revision: IntGauge,
@@ -37,6 +38,8 @@
     pool_loads: scarcity::Gauges,
     target_pace: IntGauge,
     concurrency_limit: IntGauge,
+    target_cold: IntGauge,
+    held_back: IntCounter,
     confirmed_age: IntGauge,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
@@ -73,6 +76,8 @@
         let in_flight = gauge("monsoon_in_flight", "Calls that run on the own target.")?;
         let waiting = gauge("monsoon_waiting", "Calls that wait for the own target.")?;
         let peers = gauge("monsoon_peers", "Known peers.")?;
+        let evacuated =
+            gauge("monsoon_evacuated_data_centres", "Data centres that are evacuated.")?;
         let tables = gauge("monsoon_tables_revision", "Revision of the tables in force.")?;
         let facts_revision = gauge(
             "monsoon_facts_revision",
@@ -91,6 +96,12 @@
             "monsoon_concurrency_limit",
             "Calls that may run on the own target at the same time.",
         )?;
+        let target_cold = gauge("monsoon_target_cold", "Whether the own target is cold.")?;
+        let held_back = IntCounter::new(
+            "monsoon_cold_held_back_total",
+            "Calls that waited or were refused because the own target is cold.",
+        )?;
+        registry.register(Box::new(held_back.clone()))?;
         let confirmed_age = gauge(
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
@@ -114,6 +125,7 @@
             in_flight,
             waiting,
             peers,
+            evacuated,
             tables,
             facts_revision,
             store_revision,
@@ -122,6 +134,8 @@
             pool_loads,
             target_pace,
             concurrency_limit,
+            target_cold,
+            held_back,
             confirmed_age,
             held_bytes,
             held_response_bytes,
@@ -158,6 +172,7 @@
         metrics.in_flight.set(dump.in_flight as i64);
         metrics.waiting.set(dump.waiting as i64);
         metrics.peers.set(dump.peers as i64);
+        metrics.evacuated.set(dump.evacuated.len() as i64);
         metrics.tables.set(dump.table.map_or(0, |revision| revision.0 as i64));
         metrics.facts_revision.set(dump.position.revision.0 as i64);
         metrics.store_revision.set(dump.store.revision.0 as i64);
@@ -165,6 +180,8 @@
         metrics.pool_loads.set(&dump.loads);
         metrics.target_pace.set(dump.target_pace.map_or(-1, i64::from));
         metrics.concurrency_limit.set(dump.concurrency_limit as i64);
+        metrics.target_cold.set(i64::from(dump.is_target_cold));
+        metrics.held_back.inc_by(dump.held_back_by_cold - metrics.held_back.get());
         metrics.confirmed_age.set(dump.confirmed_age_ms.map_or(-1, |age| age as i64));
         for kind in standing::Kind::ALL {
             let counter = metrics.refused_by_standing.with_label_values(&[kind.as_str()]);
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -17,6 +17,7 @@
         id,
         mesh::{
             demand::Origin,
+            evacuation::NO_TARGET_RETRY_AFTER,
             gate::{Decision, Release},
             lineage::Lineage,
             node::{ForwardedRequest, RunEnd},
@@ -127,9 +128,13 @@
         match decision {
             Decision::Run => {}
             Decision::Queued(until) => self.wait_for_slot(call, until - now).await?,
-            Decision::Refused(wait) => return Err(overload_refusal(wait)),
+            Decision::Refused(wait) => return Err(self.gate_refusal(wait)),
         }
         slot.is_running = true;
+        if self.node.borrow_mut().gate().is_evacuated() {
+            // The evacuation began after the queue had released the call.
+            return Err(self.gate_refusal(NO_TARGET_RETRY_AFTER));
+        }
         if self.node.borrow().is_closed(clock::now(), &forwarded.target) {
             return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
         }
@@ -167,6 +172,7 @@
             }
             ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal)),
             ExchangeResult::Unreachable(error) => {
+                self.record_unreachable_target(&error);
                 log::warn!(
                     request = forwarded.request.as_str(), error:% = error;
                     "can't connect to the target"
@@ -214,6 +220,7 @@
             let now = clock::now();
             let calls = mesh.broken_calls.take();
             if is_alive {
+                mesh.ask_restarted_target();
                 let mut node = mesh.node.borrow_mut();
                 calls
                     .into_iter()
@@ -221,6 +228,7 @@
                 return;
             }
             log::warn!(calls = calls.len(); "target crashed");
+            mesh.record_crashed_target();
             mesh.node.borrow_mut().crash_tracker().target_crashed(now);
             mesh.send_crash_reports().await;
         });
@@ -244,16 +252,31 @@
         self.start_pacing();
         match tokio::time::timeout(timeout, release).await {
             Ok(Ok(Release::Run(_))) => Ok(()),
-            Ok(Ok(Release::Refuse(_, wait))) => Err(overload_refusal(wait)),
+            Ok(Ok(Release::Refuse(_, wait))) => Err(self.gate_refusal(wait)),
             Ok(Err(_)) | Err(_) => {
                 let wait = self.node.borrow_mut().gate().retry_after(clock::now());
-                Err(overload_refusal(wait))
+                Err(self.gate_refusal(wait))
             }
         }
     }
 
+    /// Returns the refusal of a call that did not pass the gate.
+    fn gate_refusal(&self, wait: Duration) -> RunResult {
+        let reason = match self.node.borrow_mut().gate().is_evacuated() {
+            true => Reason::Evacuated,
+            false => Reason::Overload,
+        };
+        RunResult::Refused(Refusal::not_run(reason).after(wait))
+    }
+
+    /// Refuses the queued calls if the own data centre is evacuated.
+    pub fn refuse_evacuated_queue(self: &Rc<Self>) {
+        let releases = self.node.borrow_mut().gate().tick(clock::now());
+        self.deliver_releases(releases);
+    }
+
     /// Notifies queued calls that they were admitted or refused.
-    fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
+    pub fn deliver_releases(self: &Rc<Self>, releases: Vec<Release>) {
         for release in releases {
             let (Release::Run(call) | Release::Refuse(call, _)) = release;
             let waiter = self.queued_calls.borrow_mut().remove(&call);
@@ -311,7 +334,3 @@
         }
     }
 }
-
-fn overload_refusal(wait: Duration) -> RunResult {
-    RunResult::Refused(Refusal::not_run(Reason::Overload).after(wait))
-}
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -7,6 +7,7 @@
 pub mod announcement;
 pub mod cold;
 pub mod demand;
+pub mod evacuation;
 pub mod fact;
 pub mod fleet;
 pub mod gate;
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -7,11 +7,14 @@
 //! shown that the target finishes more calls that way ([`Knee`]).
 //!
 //! A target may name a limit on its requests per second. All its requests pass this gate, so the
-//! limit is kept here, whichever nodes the requests come from.
+//! limit is kept here, whichever nodes the requests come from. The same holds for the bound on a cold
+//! target. The smallest of slots, limit and bound applies.
 
 use {
     super::{
         announcement::{Limit, Pace},
+        cold,
+        evacuation::NO_TARGET_RETRY_AFTER,
         knee::{self, Knee},
         pace,
         throttle::Throttle,
@@ -105,7 +108,9 @@
     pace: pace::Tracker,
     knee: Knee,
     throttle: Option<Throttle>,
+    cold: cold::Guard,
     has_response: bool,
+    is_evacuated: bool,
 }
 
 impl Gate {
@@ -119,10 +124,22 @@
             pace: pace::Tracker::default(),
             knee: Knee::default(),
             throttle: None,
+            cold: cold::Guard::default(),
             has_response: false,
+            is_evacuated: false,
         }
     }
 
+    /// Returns the bound on the target while it is cold.
+    pub fn cold(&self) -> &cold::Guard {
+        &self.cold
+    }
+
+    /// Returns the bound on the target while it is cold, for modification.
+    pub fn cold_mut(&mut self) -> &mut cold::Guard {
+        &mut self.cold
+    }
+
     /// Sets the published number of slots. Calls in flight are not affected.
     pub fn resize(&mut self, slots: u32) {
         if self.slots != slots as usize {
@@ -131,6 +148,17 @@
         self.slots = slots as usize;
     }
 
+    /// Sets whether the data centre of the target is evacuated. New calls are refused then, and the
+    /// next [`Gate::tick`] refuses the queued ones. Calls in flight are not affected.
+    pub fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+    }
+
+    /// Returns whether calls are refused because the data centre of the target is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Forgets what the target said, since another instance has taken its place.
     pub fn forget_target(&mut self) {
         self.throttle = None;
@@ -173,17 +201,25 @@
         self.throttle.map(|throttle| throttle.limit())
     }
 
-    /// Returns the limit on the calls that may start per second, if there is one.
-    pub fn rate_limit(&self) -> Option<RequestRate> {
-        self.limit()
+    /// Returns the rate at which calls may start now: the limit that the target names or the bound on
+    /// a cold target, whichever is less.
+    pub fn rate_limit(&self, now: Instant) -> Option<RequestRate> {
+        let rates = self.limit().into_iter().chain(self.cold.rate(now));
+        rates.min_by(|a, b| a.per_second().total_cmp(&b.per_second()))
     }
 
     /// Admits, queues or refuses a new call.
     pub fn offer(&mut self, now: Instant, call: id::Call, request: &AdmissionRequest) -> Decision {
+        if self.is_evacuated {
+            return Decision::Refused(NO_TARGET_RETRY_AFTER);
+        }
         if self.queue.is_empty() && self.try_start(now) {
             self.running.insert(call);
             return Decision::Run;
         }
+        if self.has_free_slot() && !self.cold.wait(now, 0).is_zero() {
+            self.cold.record_held_back();
+        }
         let due_at = now + request.objective;
         let key = QueueKey { rank: request.rank, due_at, call };
         let wait = self.expected_wait(now, self.queue.range(..key).count());
@@ -222,20 +258,22 @@
         key.is_some_and(|key| self.queue.remove(&key).is_some())
     }
 
-    /// Returns when the limit that the target named lets the next queued call start. `None` if no
-    /// call waits for that; the end of a running call may still start one.
+    /// Returns when the limit that the target named and the bound on a cold target let the next
+    /// queued call start. `None` if no call waits for that; the end of a running call may still start
+    /// one.
     pub fn next_start(&self, now: Instant) -> Option<Instant> {
-        let throttle = self.throttle.filter(|_| !self.queue.is_empty() && self.has_free_slot())?;
-        Some(now + throttle.wait(now, 0))
+        let is_bound = self.rate_limit(now).is_some();
+        let is_waiting = is_bound && !self.queue.is_empty() && self.has_free_slot();
+        is_waiting.then(|| now + self.rate_wait(now, 0))
     }
 
-    /// Refuses calls that waited too long, and starts queued calls while there are free slots.
+    /// Refuses calls that waited too long, or all if the data centre is evacuated, and starts queued calls while there are free slots.
     pub fn tick(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = Vec::new();
         let expired: Vec<QueueKey> = self
             .queue
             .iter()
-            .filter(|(_, refuse_at)| **refuse_at <= now)
+            .filter(|(_, refuse_at)| self.is_evacuated || **refuse_at <= now)
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
@@ -265,11 +303,11 @@
         self.queue.len()
     }
 
-    /// Returns the load report for other nodes. A limit on requests per second is reported as the
-    /// number of concurrent calls that it amounts to.
+    /// Returns the load report for other nodes. A limit or bound on requests per second is reported as
+    /// the number of concurrent calls that it amounts to.
     pub fn report(&self, now: Instant) -> pressure::Report {
-        let by_rate = self.throttle.map_or(usize::MAX, |throttle| {
-            (throttle.limit().per_second() * self.pace.latency_s(now)).ceil() as usize
+        let by_rate = self.rate_limit(now).map_or(usize::MAX, |rate| {
+            (rate.per_second() * self.pace.latency_s(now)).ceil() as usize
         });
         let queue_delay = self.expected_wait(now, self.queue.len());
         pressure::Report {
@@ -306,10 +344,24 @@
         }
     }
 
-    /// Returns whether a call may start now, and counts it against the target's limit if so.
+    /// Returns whether a call may start now, and counts it against the target's limit and the bound on
+    /// a cold target if so.
     fn try_start(&mut self, now: Instant) -> bool {
-        let has_free_slot = self.has_free_slot();
-        has_free_slot && self.throttle.as_mut().is_none_or(|throttle| throttle.try_start(now))
+        if !self.has_free_slot() || !self.cold.may_start(now) {
+            return false;
+        }
+        let is_started = self.throttle.as_mut().is_none_or(|throttle| throttle.try_start(now));
+        if is_started {
+            self.cold.record_start(now);
+        }
+        is_started
+    }
+
+    /// Returns the time for which a call behind `ahead` queued calls waits for the target's limit and
+    /// for the bound on a cold target.
+    fn rate_wait(&self, now: Instant, ahead: usize) -> Duration {
+        let for_limit = self.throttle.map(|throttle| throttle.wait(now, ahead));
+        for_limit.unwrap_or_default().max(self.cold.wait(now, ahead))
     }
 
     /// Returns the expected wait of a call behind `ahead` queued calls.
@@ -321,13 +373,15 @@
                 Duration::from_secs_f64((ahead + 1) as f64 * self.pace.latency_s(now) / slots)
             }
         };
-        let for_rate = self.throttle.map(|throttle| throttle.wait(now, ahead));
-        for_slot.max(for_rate.unwrap_or_default())
+        for_slot.max(self.rate_wait(now, ahead))
     }
 
     /// Returns the retry delay for refused callers: twice the expected time to drain the queue.
     /// By then there is room again, unless new calls have arrived.
     pub fn retry_after(&self, now: Instant) -> Duration {
+        if self.is_evacuated {
+            return NO_TARGET_RETRY_AFTER;
+        }
         (self.expected_wait(now, self.queue.len()) * 2).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -26,7 +26,9 @@
 use {
     super::{
         announcement::{Announcement, Limit, Pace},
+        cold,
         demand::Meter,
+        evacuation::Evacuations,
         fact::{FactStore, Target},
         fleet::Fleet,
         gate::Gate,
@@ -130,6 +132,7 @@
     table: Option<Arc<Table>>,
     lease: Lease,
     fleet: Fleet,
+    evacuations: Evacuations,
     peers: Peers,
     pickers: BTreeMap<id::Pool, Picker>,
     resend_budgets: BTreeMap<id::Pool, ResendBudget>,
@@ -141,6 +144,8 @@
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     paced_pools: pace::Pools,
+    /// Until when targets are cold, by their entries.
+    cold_targets: BTreeMap<id::Vm, Instant>,
     gate: Gate,
     meter: Meter,
     tracker: Tracker,
@@ -164,6 +169,7 @@
             table: None,
             lease: Lease::new(settings.withdrawal),
             fleet: Fleet::default(),
+            evacuations: Evacuations::default(),
             peers: Peers::new(settings.host, settings.data_centre.clone()),
             pickers: BTreeMap::new(),
             resend_budgets: BTreeMap::new(),
@@ -178,6 +184,7 @@
             entry_refusals: standing::Refusals::default(),
             limited_targets: BTreeSet::new(),
             paced_pools: pace::Pools::default(),
+            cold_targets: BTreeMap::new(),
             gate: Gate::new(0),
             meter: Meter::default(),
             tracker: Tracker::default(),
@@ -216,6 +223,19 @@
         &self.fleet
     }
 
+    /// Returns the evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether the local target is in an evacuated data centre, by the settings of the node
+    /// or by the entry of the target.
+    fn is_own_evacuated(&self) -> bool {
+        let own = self.fleet.by_address(self.settings.target);
+        let listed = own.is_some_and(|target| self.evacuations.contains(&target.data_centre));
+        listed || self.evacuations.contains(&self.settings.data_centre)
+    }
+
     /// Returns the known peers.
     pub fn peers(&self) -> &Peers {
         &self.peers
@@ -231,6 +251,11 @@
         &mut self.gate
     }
 
+    /// Returns the bound on the local target while it is cold.
+    pub fn cold_guard(&self) -> &cold::Guard {
+        self.gate.cold()
+    }
+
     /// Returns the active runs of the local target.
     pub fn runs(&mut self) -> &mut ActiveRuns {
         &mut self.runs
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -10,15 +10,16 @@
         call::{Outcome, Reason, Refusal},
         id,
         key::Digest,
-        mesh::{gate::Rank, scarcity::Class, standing::Standing, table::Route},
+        mesh::{
+            evacuation::NO_TARGET_RETRY_AFTER, gate::Rank, scarcity::Class, standing::Standing,
+            table::Route,
+        },
         pressure::Share,
         time::Instant,
     },
     std::{collections::BTreeSet, net::IpAddr, sync::Arc, time::Duration},
 };
 
-/// The retry delay given to callers when no target could take the request.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The shortest time that a target needs. A request with less time left is not sent.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 /// The retry delay is limited to the caller's remaining time divided by this number.
@@ -88,7 +89,7 @@
 }
 
 impl Node {
-    /// Selects the target of the next attempt. Peers in `unresponsive` have not answered in time;
+    /// Selects the target of the next attempt, never one of an evacuated data centre. Peers in `unresponsive` have not answered in time;
     /// they are used only if there is no other, and only for idempotent requests: of a request
     /// that is sent to a peer behind a partition nobody knows whether it ran.
     ///
@@ -177,7 +178,7 @@
         attempt: &Attempt,
         latency: Duration,
     ) {
-        let latency = self.service_latency(&attempt.target, latency);
+        let latency = self.service_latency(now, &attempt.target, latency);
         if let Some(picker) = self.pickers.get_mut(&call.pool) {
             picker.call_finished(now, &attempt.target, CallResult::Cancelled, latency);
         }
@@ -192,7 +193,7 @@
         result: AttemptResult,
         latency: Duration,
     ) -> NextStep {
-        let latency = self.service_latency(&attempt.target, latency);
+        let latency = self.service_latency(now, &attempt.target, latency);
         if let Some(picker) = self.pickers.get_mut(&call.pool) {
             picker.call_finished(now, &attempt.target, call_result_of(result), latency);
         }
@@ -235,8 +236,14 @@
 
     /// Returns the latency of an attempt if it tells how fast the target is. With a limit on its
     /// requests per second, a fast target has slow answers, since its calls wait to start.
-    fn service_latency(&self, target: &id::Vm, latency: Duration) -> Option<Duration> {
-        (!self.limited_targets.contains(target)).then_some(latency)
+    fn service_latency(
+        &self,
+        now: Instant,
+        target: &id::Vm,
+        latency: Duration,
+    ) -> Option<Duration> {
+        let is_limited = self.limited_targets.contains(target) || self.is_cold(now, target);
+        (!is_limited).then_some(latency)
     }
 
     fn may_run_again(&mut self, now: Instant, call: &Call, share: f64) -> bool {
@@ -283,7 +290,12 @@
         AttemptResult::Answered { has_failed: true } => CallResult::Failed,
         AttemptResult::Refused(refusal) | AttemptResult::Declined(refusal) => match refusal.outcome
         {
-            Outcome::NotRun if matches!(refusal.reason, Reason::Overload | Reason::Leaving) => {
+            Outcome::NotRun
+                if matches!(
+                    refusal.reason,
+                    Reason::Overload | Reason::Leaving | Reason::Evacuated
+                ) =>
+            {
                 CallResult::Shed
             }
             _ => CallResult::Broken,
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -27,6 +27,8 @@
     pub confirmed_age_ms: Option<u64>,
     /// The number of targets.
     pub targets: usize,
+    /// The evacuated data centres.
+    pub evacuated: Vec<id::DataCentre>,
     /// The number of peers.
     pub peers: usize,
     /// The number of calls running on the local target.
@@ -41,6 +43,10 @@
     pub target_pace: Option<u32>,
     /// The number of calls that may run on the local target at the same time.
     pub concurrency_limit: usize,
+    /// Whether the local target is cold.
+    pub is_target_cold: bool,
+    /// The number of calls that the bound on a cold target has held back.
+    pub held_back_by_cold: u64,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
     /// The latest reported loads of pools under pressure.
@@ -57,6 +63,7 @@
             store: self.lag.latest(),
             confirmed_age_ms: self.lease.age(now).map(|age| age.as_millis() as u64),
             targets: self.fleet.iter().count(),
+            evacuated: self.evacuations.iter().cloned().collect(),
             peers: self.peers.len(),
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
@@ -65,6 +72,8 @@
             loads: self.pool_states(now),
             target_pace: self.gate.pace(now).map(Pace::percent),
             concurrency_limit: self.gate.concurrency_limit(),
+            is_target_cold: self.gate.cold().is_cold(now),
+            held_back_by_cold: self.gate.cold().held_back(),
             pools: self
                 .pickers
                 .iter()
