--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -112,6 +112,8 @@
     load: Load,
     /// The step for which `load` was computed.
     load_step: Option<u64>,
+    /// The last step in which many calls waited.
+    backlog_step: Option<u64>,
 }
 
 impl Default for Meter {
@@ -124,6 +126,7 @@
             calibration: Calibration::default(),
             load: Load::default(),
             load_step: None,
+            backlog_step: None,
         }
     }
 }
@@ -207,7 +210,12 @@
         }
         let used = totals.hold_s / window_s / uncorrected;
         let waits = f64::from(totals.waits) / f64::from(totals.arrivals.max(1));
-        let is_backlogged = limits.waiting as f64 > CONTENDED_FRACTION * slots;
+        if limits.waiting as f64 > CONTENDED_FRACTION * slots {
+            self.backlog_step = self.step;
+        }
+        // The waits of a backlog stay in the window after it is gone.
+        let since_backlog = self.step.zip(self.backlog_step).map(|(step, last)| step - last);
+        let is_backlogged = since_backlog.is_some_and(|steps| steps <= STEPS as u64);
         let entries = self.entry_state(window_s, is_backlogged);
         self.calibration.adjust(used, waits, entries);
     }
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -143,6 +143,8 @@
     pub store: Store,
     /// The machines, in the order in which they were added.
     pub machines: Vec<Machine>,
+    /// The contracts that the settings of machines added from now on name.
+    pub contracts: Vec<&'static str>,
     program: PathBuf,
     directory: PathBuf,
     version: u64,
@@ -178,6 +180,7 @@
         Ok(Self {
             store,
             machines: Vec::new(),
+            contracts: Vec::new(),
             program: program.into(),
             directory,
             version: 0,
@@ -217,7 +220,8 @@
         let id = format!("i-{name}");
         let server = Server::start(SocketAddr::from((address, SERVER)), &id, slots).await?;
         let path = self.directory.join(format!("{name}.toml"));
-        fs::write(&path, settings(&name, address, service, zone, store))?;
+        let terms = format!("[terms]\ncontracts = {:?}\n", self.contracts);
+        fs::write(&path, settings(&name, address, service, zone, store) + &terms)?;
         let log = self.directory.join(format!("{name}.log"));
         let node = self.spawn(&path, &log)?;
         let (service, zone) = (service.to_owned(), zone.to_owned());
