--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -27,7 +27,7 @@
 const RECENT_STEPS: usize = 3;
 /// The number of standard deviations by which the demand in the recent steps has to differ from the
 /// mean to count as a change.
-const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
+const SIGNIFICANT_DEVIATIONS: f64 = 1.0;
 /// The largest number of classes. Further ones count as the last known one.
 const MAX_CLASSES: usize = 16;
 /// The factor applied with each step to the sums from which mean holding times are derived. It
@@ -42,11 +42,16 @@
 const CONTENDED_FRACTION: f64 = 0.05;
 /// The smallest number of such calls in the window. Fewer are noise.
 const MIN_CONTENDED_CALLS: u32 = 5;
-/// The time in which waiting calls are to be worked off. In less time than the delay of late
-/// reports, entries would refuse for a queue that is gone.
-const BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// The time in which waiting calls are to be worked off. Runs whose calls wait make their next calls
+/// late, so that the demand seems to be little more than the capacity for as long as there is a
+/// queue. In less time than the delay of late reports, entries would refuse for a queue that is gone.
+const BACKLOG_TIME: Duration = Duration::from_millis(700);
 /// The fraction of the capacity that is given out however many calls wait.
-const MIN_FREE_FRACTION: f64 = 0.5;
+const MIN_FREE_FRACTION: f64 = 0.4;
+/// The admitted demand, as a fraction of what the own shares give, from which on this target is
+/// taken to be the one that limits the requests. With 0.85, the capacity rose while entries still
+/// followed a change, and then too many requests were admitted.
+const LIMITING_FRACTION: f64 = 0.92;
 /// The smallest number of finished calls from which the fraction that is declined is derived.
 const MIN_DECLINE_SAMPLES: u32 = 20;
 
@@ -303,10 +308,6 @@
     }
 }
 
-/// The admitted demand, as a fraction of what the own shares give, from which on this target is
-/// taken to be the one that limits the requests.
-const LIMITING_FRACTION: f64 = 0.85;
-
 /// Returns the fraction of the demand that can be resent until it succeeds, or infinity if the
 /// target declines so few calls that resends suffice.
 fn resendable_fraction(totals: &Totals, resend_ratio: f64) -> f64 {
