knee: leave calls during a change of pace out of trials

Calls that start while a target is slow and end when it is not count with their long times for the usual pace. They raised the mean latency at all slots, so that the reduced limit was kept at targets that gain nothing from it.

Such calls are no longer recorded. The log line takes the limit from the change, and the unused name of a limit goes.

--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -203,9 +203,8 @@
         if self.running.remove(&call)
             && let Some(latency) = latency
         {
-            self.pace.record_call(now, latency);
-            let pace = self.pace.pace(now).unwrap_or(Pace::USUAL);
-            self.knee.record_call(now, latency, pace.factor());
+            let pace = self.pace.record_call(now, latency);
+            pace.into_iter().for_each(|pace| self.knee.record_call(now, latency, pace));
         }
         self.tick(now)
     }
@@ -294,8 +293,8 @@
         let is_contended = !self.queue.is_empty() && self.running.len() >= self.concurrency_limit();
         let latency_s = self.pace.latency_s(now);
         let change = self.knee.tick(now, self.slots, is_contended, latency_s);
-        if let Some(knee::Change { gain, .. }) = change {
-            let (limit, slots) = (self.concurrency_limit(), self.slots);
+        if let Some(knee::Change { limit, gain }) = change {
+            let (limit, slots) = (limit.of(self.slots), self.slots);
             log::info!(limit, slots, gain; "concurrency limit changed");
         }
     }
--- a/lib/src/mesh/knee.rs
+++ b/lib/src/mesh/knee.rs
@@ -5,10 +5,7 @@
 //! trial while calls wait for a slot, since only then the limit matters.
 //! See docs/design/uneven-load.md.
 
-use {
-    crate::time::Instant,
-    std::{fmt, time::Duration},
-};
+use {crate::time::Instant, std::time::Duration};
 
 /// The fraction of the slots that the reduced limit uses. The slowdown begins at 95 %.
 const REDUCED_FRACTION: f64 = 0.94;
@@ -55,15 +52,6 @@
     }
 }
 
-impl fmt::Display for Limit {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::All => "all slots",
-            Self::Reduced => "reduced",
-        })
-    }
-}
-
 /// A change of the limit that is kept, as opposed to one that is tried.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Change {
@@ -163,7 +151,8 @@
     }
 
     /// Records a call that ended now. `pace` is the time that work takes on the target's machine, as
-    /// a multiple of the usual time.
+    /// a multiple of the usual time. Calls during which it changed are not recorded, since they would
+    /// count for the wrong pace.
     pub fn record_call(&mut self, now: Instant, latency: Duration, pace: f64) {
         let Phase::Trying(trial) = &mut self.phase else { return };
         if now < trial.settled {
--- a/lib/src/mesh/pace.rs
+++ b/lib/src/mesh/pace.rs
@@ -24,6 +24,8 @@
 /// much of the call ran at which pace; all calls in flight at a change from 100 to 250 together
 /// would otherwise replace the mean.
 const CHANGE_EXPONENT: i32 = 4;
+/// The ratio of the paces at the start and the end of a call down to which they count as the same.
+const STEADY_CHANGE: f64 = 0.8;
 /// The paces of this many periods of [`RESOLUTION`] are remembered.
 const MAX_HISTORY: usize = 128;
 /// The shortest period for which a pace is remembered. Paces that follow sooner replace it.
@@ -62,13 +64,16 @@
         }
     }
 
-    /// Records a call that ended now after it ran for `latency`.
-    pub fn record_call(&mut self, now: Instant, latency: Duration) {
+    /// Records a call that ended now after it ran for `latency`. Returns the pace at that time, as a
+    /// multiple of the usual time, unless it has changed during the call.
+    pub fn record_call(&mut self, now: Instant, latency: Duration) -> Option<f64> {
         let at_start = self.pace_at(now - latency).factor();
         let at_end = self.factor(now);
-        let weight = (at_start.min(at_end) / at_start.max(at_end)).powi(CHANGE_EXPONENT);
+        let change = at_start.min(at_end) / at_start.max(at_end);
+        let weight = change.powi(CHANGE_EXPONENT);
         let usual_s = latency.as_secs_f64() / ((at_start + at_end) / 2.0);
         self.usual_s += SAMPLE_WEIGHT * weight * (usual_s - self.usual_s);
+        (change >= STEADY_CHANGE).then_some(at_end)
     }
 
     /// Returns the pace that the target named, unless it is too old.
--- a/lib/tests/mesh_knee.rs
+++ b/lib/tests/mesh_knee.rs
@@ -72,7 +72,7 @@
     let outcome = play(148, 1.2, knee, slow_at_times);
     assert!(outcome.throughput > WITH_ALL_SLOTS * 1.15, "{outcome:?}");
     let outcome = play(148, 1.2, no_knee, slow_at_times);
-    assert!(outcome.throughput > 0.95 && outcome.reduced < 0.4, "{outcome:?}");
+    assert!(outcome.throughput > 0.97 && outcome.reduced < 0.2, "{outcome:?}");
 }
 
 /// A limit below the slots would cost a small target much, and one without a queue gains nothing.
--- a/lib/tests/mesh_pace.rs
+++ b/lib/tests/mesh_pace.rs
@@ -7,6 +7,7 @@
         mesh::{
             announcement::{Announcement, Load, Pace},
             fact::{Fact, Heartbeat, Key, Target, Value},
+            gate::Gate,
             node::{Node, Settings},
             pace::Tracker,
             position::{Era, Position},
@@ -117,7 +118,7 @@
 #[test]
 fn age_of_pace() {
     let mut tracker = Tracker::default();
-    (0..200).for_each(|i| tracker.record_call(at(i), ms(80)));
+    (0..200).for_each(|i| _ = tracker.record_call(at(i), ms(80)));
     let is_near = |latency_s: f64, ms: f64| (latency_s * 1e3 - ms).abs() < 1.0;
     assert!(is_near(tracker.latency_s(at(200)), 80.0), "the mean latency without a pace");
     tracker.record_pace(at(200), pace(250));
@@ -126,13 +127,24 @@
     assert!(is_near(tracker.latency_s(at(801)), 80.0));
 }
 
+/// Other nodes learn the time of a call by the report, without a change of its layout.
+#[test]
+fn reported_by_gate() {
+    let mut gate = Gate::new(4);
+    let usual = gate.report(at(0)).latency;
+    gate.record_pace(at(0), pace(250));
+    assert_eq!(gate.report(at(1)).latency, usual.mul_f64(2.5));
+    gate.forget_target();
+    assert_eq!(gate.report(at(1)).latency, usual);
+}
+
 /// Calls that were in flight when the pace changed would be taken for fast ones.
 #[test]
 fn change_of_pace() {
     let mut tracker = Tracker::default();
     tracker.record_pace(at(0), pace(100));
     tracker.record_pace(at(500), pace(250));
-    (0..50).for_each(|i| tracker.record_call(at(501 + i), ms(80)));
+    (0..50).for_each(|i| _ = tracker.record_call(at(501 + i), ms(80)));
     let latency_s = tracker.latency_s(at(551));
     assert!(latency_s > 0.1, "{latency_s}");
 }
