balance: add the path to another data centre to reported latencies

The latency in a report lacks the network, which the own measurement has. Nearly full pools therefore sent more calls to other data centres than before.

The picker averages by how much calls take longer than reported, and adds the difference between other data centres and the local one.

--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -6,12 +6,14 @@
 //! See docs/design/balance.md.
 
 mod member;
+mod path;
 
 pub use member::{State, Status};
 
 use {
     crate::{admission::CallResult, id, pressure, time::Instant},
     member::Member,
+    path::Path,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
@@ -97,6 +99,7 @@
     settings: Settings,
     data_centre: id::DataCentre,
     members: Vec<Member>,
+    path: Path,
     rng: ChaCha8Rng,
     is_started: bool,
 }
@@ -109,6 +112,7 @@
             settings,
             data_centre,
             members: Vec::new(),
+            path: Path::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             is_started: false,
         }
@@ -183,7 +187,13 @@
         let may_eject = self.may_eject(now, vm);
         let others_failed = self.others_failed_share(vm);
         let settings = self.settings.clone();
-        let Some(member) = self.member_mut(vm) else { return };
+        let Some(member) = self.members.iter_mut().find(|member| member.vm == *vm) else { return };
+        if let Some((latency, reported_s)) = latency.zip(member.reported_s(now, &settings))
+            && kind == CallResult::Ok
+        {
+            let excess_s = latency.as_secs_f64() - reported_s;
+            self.path.record(member.data_centre == self.data_centre, excess_s);
+        }
         member.call_finished(now, kind, latency);
         let should_eject = member.should_eject(&settings, others_failed);
         let was_probe = member.state(now) == State::HalfOpen;
@@ -209,8 +219,10 @@
     /// Returns the state for operators.
     pub fn dump(&self, now: Instant) -> Dump {
         let default_latency_s = self.mean_latency_s();
-        let status = |member: &Member| member.status(now, default_latency_s, &self.settings);
-        let status = |member: &Member| (member.vm.clone(), status(member));
+        let status = |member: &Member| {
+            let cost = self.cost(now, member, default_latency_s);
+            (member.vm.clone(), member.status(now, cost, &self.settings))
+        };
         Dump { members: self.members.iter().map(status).collect() }
     }
 
@@ -228,13 +240,19 @@
         self.members.iter_mut().find(|member| member.vm == *vm)
     }
 
+    fn cost(&self, now: Instant, member: &Member, default_latency_s: f64) -> f64 {
+        let is_local = member.data_centre == self.data_centre;
+        let path_s = if is_local { 0.0 } else { self.path.remote_s() };
+        member.cost(now, default_latency_s, path_s, &self.settings)
+    }
+
     /// Returns the cheapest of a few random candidates and its cost.
     fn cheapest(&mut self, now: Instant, mut candidates: Vec<usize>) -> Option<(usize, f64)> {
         let default_latency_s = self.mean_latency_s();
         let mut best: Option<(usize, f64)> = None;
         for _ in 0..self.settings.choices.min(candidates.len()) {
             let index = candidates.swap_remove(self.rng.random_range(0..candidates.len()));
-            let cost = self.members[index].cost(now, default_latency_s, &self.settings);
+            let cost = self.cost(now, &self.members[index], default_latency_s);
             if best.is_none_or(|(_, lowest)| cost < lowest) {
                 best = Some((index, cost));
             }
--- a/lib/src/balance/member.rs
+++ b/lib/src/balance/member.rs
@@ -196,20 +196,35 @@
         }
     }
 
+    /// Returns the time of a call including the wait in the queue according to a fresh report, in
+    /// seconds, if the settings say to use it.
+    pub fn reported_s(&self, now: Instant, settings: &Settings) -> Option<f64> {
+        let load = self.fresh_load(now, settings).filter(|_| settings.reported_latency)?;
+        let latency = (!load.latency.is_zero()).then_some(load.latency)?;
+        Some((latency + load.queue_delay).as_secs_f64())
+    }
+
     /// Returns the expected cost: the time of a call, weighted by the load of the target and the
     /// calls in flight from this node. `default_latency_s` is used until a latency has been
-    /// measured.
-    pub fn cost(&self, now: Instant, default_latency_s: f64, settings: &Settings) -> f64 {
+    /// measured, and `path_s` is the time that a reported latency lacks.
+    pub fn cost(
+        &self,
+        now: Instant,
+        default_latency_s: f64,
+        path_s: f64,
+        settings: &Settings,
+    ) -> f64 {
         let load = self.fresh_load(now, settings);
-        let measured_s = self.latency_s.unwrap_or(default_latency_s);
-        let reported = load.filter(|load| settings.reported_latency && !load.latency.is_zero());
-        let latency_s = reported.map_or(measured_s, |load| load.latency.as_secs_f64()).max(1e-6);
-        let delay_s = load.map_or(0.0, |load| load.queue_delay.as_secs_f64());
+        let measured_s = || {
+            let latency_s = self.latency_s.unwrap_or(default_latency_s).max(1e-6);
+            latency_s + load.map_or(0.0, |load| load.queue_delay.as_secs_f64())
+        };
+        let time_s = self.reported_s(now, settings).map_or_else(measured_s, |time| time + path_s);
         let calls = load.map_or(self.slots, |load| load.limit);
         let ramped_limit = f64::from(calls) * self.ramp(now, settings);
         let own_share = f64::from(self.in_flight + 1) / ramped_limit;
         let spare = (COST_POLE - self.load_share(now, settings)).max(COST_POLE - 1.0);
-        (latency_s + delay_s) * (1.0 + own_share) / spare / self.ramp(now, settings)
+        time_s * (1.0 + own_share) / spare / self.ramp(now, settings)
     }
 
     /// Returns the mean latency in seconds, if one has been measured.
@@ -223,7 +238,7 @@
     }
 
     /// Returns the state for operators.
-    pub fn status(&self, now: Instant, default_latency_s: f64, settings: &Settings) -> Status {
+    pub fn status(&self, now: Instant, cost: f64, settings: &Settings) -> Status {
         Status {
             state: self.state(now),
             is_leaving: self.is_leaving,
@@ -231,7 +246,7 @@
             latency: self.latency_s.map(Duration::from_secs_f64),
             failed_share: self.failed,
             load: self.fresh_load(now, settings).map(|_| self.load_share(now, settings)),
-            cost: self.cost(now, default_latency_s, settings),
+            cost,
         }
     }
 
--- a/lib/tests/balance.rs
+++ b/lib/tests/balance.rs
@@ -180,6 +180,26 @@
     assert_eq!(counts.get("a"), None, "{counts:?}");
 }
 
+/// Reports lack the path to another data centre, so that more calls would go there than callers gain
+/// from.
+#[test]
+fn remote_path() {
+    let mut picker = reporting_picker(&[target("a", "near"), target("c", "far")], 7);
+    let mut now = Instant::ZERO;
+    for _ in 0..200 {
+        now += ms(5);
+        for (name, latency) in [("a", ms(51)), ("c", ms(61))] {
+            let report = pressure::Report { latency: ms(50), ..report(50, 100) };
+            picker.record_report(now, &vm(name), &report);
+            picker.call_started(&vm(name));
+            picker.call_finished(now, &vm(name), CallResult::Ok, Some(latency));
+        }
+    }
+    let members = picker.dump(now).members;
+    let ratio = members[&vm("c")].cost / members[&vm("a")].cost;
+    assert!((1.15..1.25).contains(&ratio), "{ratio}");
+}
+
 /// Nodes with the same stale report would all pick the target that it shows as the best.
 #[test]
 fn no_herd() {
