testutils/soak: servers that become cold and evacuations of zones

The bounds on cold servers and evacuated zones have to hold beside all other faults, which no test played.

Without the switches each seed plays what it played before. The stand-in server gets a cold time, which it states as X-Cold-Ms in answers to health checks and in its entry, and can be restarted.

--- a/testutils/src/bin/monsoon-soak.rs
+++ b/testutils/src/bin/monsoon-soak.rs
@@ -21,6 +21,12 @@
     /// how long faults are injected for each seed, in seconds
     #[argh(option, default = "15")]
     seconds: u64,
+    /// also play servers that become cold
+    #[argh(switch)]
+    cold: bool,
+    /// also play evacuations of zones
+    #[argh(switch)]
+    evacuations: bool,
     /// a directory for the logs of seeds with violations
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -29,10 +35,14 @@
 #[actix_web::main]
 async fn main() -> io::Result<ExitCode> {
     let arguments: Arguments = argh::from_env();
+    let plan = soak::Plan {
+        is_cold_enabled: arguments.cold,
+        is_evacuation_enabled: arguments.evacuations,
+    };
     let mut failed = 0;
     for seed in arguments.from..arguments.from + arguments.count {
         let length = Duration::from_secs(arguments.seconds);
-        let report = soak::run(&arguments.program, seed, length).await?;
+        let report = soak::run(&arguments.program, seed, length, plan).await?;
         let (faults, violations) = (report.faults.len(), report.violations.len());
         println!(
             "seed {seed}: {faults} faults, {} of {} requests served, {violations} violations",
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -143,6 +143,9 @@
     pub store: Store,
     /// The machines, in the order in which they were added.
     pub machines: Vec<Machine>,
+    /// The seconds that servers are cold after their start, and the requests per second that they
+    /// take meanwhile, for all services. The next configuration contains them.
+    pub cold_limit: Option<(u64, u64)>,
     program: PathBuf,
     directory: PathBuf,
     version: u64,
@@ -178,6 +181,7 @@
         Ok(Self {
             store,
             machines: Vec::new(),
+            cold_limit: None,
             program: program.into(),
             directory,
             version: 0,
@@ -268,7 +272,8 @@
             "born": 1_700_000_000_000_u64 + index as u64 + starts * 1_000,
             "info": {"service": machine.service, "version": "v1", "zone": machine.zone,
                 "slots": machine.server.slots()},
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "status": {"state": state, "sequence": sequence,
+                "cold_remaining_ms": machine.server.cold_remaining().as_millis() as u64},
         });
         let key = format!("servers/{}", machine.server.id());
         self.store.write(&key, Some(entry.to_string().as_bytes()));
@@ -304,8 +309,13 @@
     ) {
         self.version += 3;
         let service_names: BTreeSet<&str> = routes.iter().map(|route| route.2).collect();
-        let services: Vec<Value> =
-            service_names.iter().map(|service| json!([service, "/health"])).collect();
+        let mut service_columns = vec!["name", "health_path"];
+        service_columns.extend(self.cold_limit.iter().flat_map(|_| ["cold_start_s", "cold_per_s"]));
+        let service_row = |service: &&str| match self.cold_limit {
+            None => json!([service, "/health"]),
+            Some((start_s, per_s)) => json!([service, "/health", start_s, per_s]),
+        };
+        let services: Vec<Value> = service_names.iter().map(service_row).collect();
         let route =
             |(i, (prefix, kind, service, target_latency_ms, public)): (usize, &(_, _, _, _, _))| {
                 json!([
@@ -330,7 +340,7 @@
             "routes": {"columns": ["name", "host", "prefix", "kind", "timeout_ms",
                 "target_latency_ms", "priority", "traffic_split", "max_attempts", "public",
                 "service"], "rows": routes},
-            "services": {"columns": ["name", "health_path"], "rows": services},
+            "services": {"columns": service_columns, "rows": services},
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
@@ -364,7 +374,8 @@
          outbound = \"{address}:{OUTBOUND}\"\nready = \"{address}:{READY}\"\n\
          [network.zones]\nza = \"r\"\nzb = \"r\"\n[platform.platform]\n\
          address = \"{store}\"\n[terms.bounds]\ngrace_s = 6\nrevoke_ms = 5000\n\
-         drain_ms = 2000\n         retry_budget_ratio = 0.2\nbudget_window_s = 10\n"
+         drain_ms = 2000\n         retry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+         cold_over = 1.5\ncold_slack = 8\nevac_ms = 5000\nmax_stretch_ms = 2000\n"
     )
 }
 
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -21,7 +21,7 @@
 /// A request whose path contains this text crashes the server that executes it.
 pub const CRASH_PATH: &str = "crash";
 /// How long a server is down after a crash.
-const RESTART_DELAY: Duration = Duration::from_millis(800);
+pub const RESTART_DELAY: Duration = Duration::from_millis(800);
 
 /// How a server treats requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -81,6 +81,8 @@
     service_time: Duration,
     /// Header lines that are added to all answers, each with its line break.
     added_fields: String,
+    /// When the server ceases to be cold.
+    cold_until: Instant,
     runs: Vec<Run>,
 }
 
@@ -120,6 +122,7 @@
             is_healthy: true,
             service_time: Duration::from_millis(5),
             added_fields: String::new(),
+            cold_until: Instant::now(),
             runs: Vec::new(),
         };
         let shared = Arc::new(Shared {
@@ -163,6 +166,22 @@
         self.state().added_fields = lines.collect();
     }
 
+    /// Makes the server cold until then. It says so in answers to health checks.
+    pub fn set_cold_until(&self, until: Instant) {
+        self.state().cold_until = until;
+    }
+
+    /// Returns for how long the server is still cold.
+    pub fn cold_remaining(&self) -> Duration {
+        self.state().cold_until.saturating_duration_since(Instant::now())
+    }
+
+    /// Makes the server restart: it closes all connections and listens again after
+    /// [`RESTART_DELAY`].
+    pub fn crash(&self) {
+        self.shared.crash.notify_one();
+    }
+
     /// Sets whether health checks succeed. A draining server fails them.
     pub fn set_healthy(&self, is_healthy: bool) {
         self.state().is_healthy = is_healthy;
@@ -250,10 +269,17 @@
 /// Serves one request. Returns none if the connection is to be closed.
 async fn serve(shared: &Shared, stream: &mut TcpStream, run: Run) -> Option<()> {
     if run.head.starts_with("GET /health ") {
-        let is_healthy = shared.state.lock().expect("the server's state").is_healthy;
+        let (is_healthy, cold_until) = {
+            let state = shared.state.lock().expect("the server's state");
+            (state.is_healthy, state.cold_until)
+        };
         let status = if is_healthy { "200 OK" } else { "503 Leaving" };
         let id = &shared.id;
-        let added = added_fields(shared);
+        let mut added = added_fields(shared);
+        let cold_remaining = cold_until.saturating_duration_since(Instant::now());
+        if !cold_remaining.is_zero() {
+            added += &format!("X-Cold-Ms: {}\r\n", cold_remaining.as_millis());
+        }
         let head =
             format!("HTTP/1.1 {status}\r\n{added}X-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         return stream.write_all(head.as_bytes()).await.ok();
--- a/testutils/src/mesh/soak.rs
+++ b/testutils/src/mesh/soak.rs
@@ -5,9 +5,12 @@
 //! servers observed. Signals are sent only to processes that the soak started.
 
 pub mod audit;
+mod plan;
 mod schedule;
 mod traffic;
 
+pub use plan::Plan;
+
 use {
     super::{Deployment, Machine, Request, send},
     crate::proxy::Proxy,
@@ -79,8 +82,9 @@
 /// # Errors
 ///
 /// Returns the error of the system when the deployment can't be started.
-pub async fn run(program: &Path, seed: u64, length: Duration) -> io::Result<Report> {
+pub async fn run(program: &Path, seed: u64, length: Duration, plan: Plan) -> io::Result<Report> {
     let mut deployment = Deployment::start(program)?;
+    deployment.cold_limit = plan.cold_limit();
     let mut links = Vec::new();
     let first_key = rotated_key(0);
     publish(&mut deployment, &first_key);
@@ -105,7 +109,7 @@
         })
         .collect();
     let random = ChaCha8Rng::seed_from_u64(seed);
-    let mut driver = Driver::new(deployment, links, shared.clone(), random);
+    let mut driver = Driver::new(deployment, links, shared.clone(), random, plan);
     let faults = driver.run(length).await?;
     shared.is_over.set(true);
     for caller in callers {
--- a/testutils/src/mesh/soak/audit.rs
+++ b/testutils/src/mesh/soak/audit.rs
@@ -1,5 +1,9 @@
 //! Checks the guarantees of the nodes against what callers and servers observed.
 
+pub mod cold;
+pub mod disturbance;
+pub mod evacuation;
+
 use {
     super::{LIMITED_RATE, PERMANENT_KEY},
     crate::mesh::{Deployment, Reply, server::Run},
@@ -87,6 +91,12 @@
     pub sent: Vec<SentRequest>,
     /// Violations found while faults were injected.
     pub violations: Vec<String>,
+    /// The times in which servers were cold.
+    pub cold: cold::Audit,
+    /// The evacuations of zones.
+    pub evacuations: evacuation::Audit,
+    /// What kept nodes from learning what the store says.
+    pub disturbances: disturbance::Log,
     incarnations: Vec<Vec<Incarnation>>,
     withdrawn: HashMap<String, Instant>,
     periods: Vec<Period>,
@@ -99,6 +109,9 @@
         Self {
             sent: Vec::new(),
             violations: Vec::new(),
+            cold: cold::Audit::default(),
+            evacuations: evacuation::Audit::default(),
+            disturbances: disturbance::Log::default(),
             incarnations: vec![vec![incarnation]; machines],
             withdrawn: HashMap::new(),
             periods: Vec::new(),
@@ -187,6 +200,17 @@
         violations.extend(self.check_key_order(&arrivals));
         violations.extend(self.check_departures(&arrivals));
         violations.extend(self.check_limits(deployment));
+        let arrival_times: Vec<(String, Vec<Instant>)> = deployment
+            .machines
+            .iter()
+            .map(|machine| {
+                let times = machine.server.runs().iter().map(|run| run.at).collect();
+                (machine.zone.clone(), times)
+            })
+            .collect();
+        let times_at = |machine: usize| arrival_times[machine].1.clone();
+        violations.extend(self.cold.check(&self.disturbances, times_at));
+        violations.extend(self.evacuations.check(&self.disturbances, &arrival_times));
         violations
     }
 
--- a/testutils/src/mesh/soak/schedule.rs
+++ b/testutils/src/mesh/soak/schedule.rs
@@ -1,7 +1,13 @@
 //! Injects the faults of a seed, which may overlap.
 
+mod cold;
+mod evacuation;
+
 use {
-    super::{Deployment, Instant, Shared, publish, rotated_key},
+    super::{
+        Deployment, Instant, Plan, Shared, audit::disturbance::Cause, plan::Planned, publish,
+        rotated_key,
+    },
     crate::{
         mesh::{Behaviour, Copy, Fault},
         proxy::{Mode, Proxy},
@@ -9,7 +15,12 @@
     nix::sys::signal::Signal,
     rand::RngExt as _,
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeMap, io, rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        io,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// The time from one fault to the next, in milliseconds.
@@ -40,6 +51,8 @@
     WriteAgain,
     RestoreServer(usize),
     LiftLimit(usize),
+    Warm(usize),
+    TakeBack(String),
 }
 
 /// Injects faults into a deployment and ends them on schedule.
@@ -59,6 +72,11 @@
     draining: Vec<bool>,
     /// Whether the server of each machine names a limit.
     limited: Vec<bool>,
+    /// Whether the server of each machine is cold.
+    cold: Vec<bool>,
+    /// The zones that are evacuated.
+    evacuated: BTreeSet<String>,
+    plan: Plan,
     log: Vec<String>,
     start: Instant,
 }
@@ -69,6 +87,7 @@
         links: Vec<Proxy>,
         shared: Rc<Shared>,
         random: ChaCha8Rng,
+        plan: Plan,
     ) -> Self {
         let count = links.len();
         Self {
@@ -82,6 +101,9 @@
             impaired: vec![false; count],
             draining: vec![false; count],
             limited: vec![false; count],
+            cold: vec![false; count],
+            evacuated: BTreeSet::new(),
+            plan,
             log: Vec::new(),
             start: Instant::now(),
         }
@@ -137,7 +159,13 @@
 
     fn inject_fault(&mut self) -> io::Result<()> {
         let machine = self.random.random_range(0..self.links.len());
-        match self.random.random_range(0..12) {
+        // Without the faults of the plan, each seed plays the same faults as if there were none.
+        let planned = self.plan.weights();
+        match self.random.random_range(0..12 + planned.len()) {
+            kind @ 12.. => match planned[kind - 12] {
+                Planned::Cold => self.chill(machine),
+                Planned::Evacuation => self.evacuate(machine),
+            },
             0 => self.signal(machine, Signal::SIGTERM),
             1 => self.signal(machine, Signal::SIGKILL),
             2 => self.signal(machine, Signal::SIGSTOP),
@@ -162,6 +190,7 @@
         match signal {
             Signal::SIGSTOP => {
                 let pause = self.random_millis(200..2_500);
+                self.begin_disturbance(Cause::Pause(machine));
                 self.schedule(pause, Event::Resume(machine));
             }
             Signal::SIGKILL => {
@@ -184,6 +213,7 @@
         let wait = self.random_millis(300..8_000);
         self.record(&format!("link between m{machine} and the store: {mode:?} for {wait:?}"));
         self.links[machine].set_mode(mode);
+        self.begin_disturbance(Cause::Cut(machine));
         if wait > ENTRY_TTL {
             self.schedule(ENTRY_TTL, Event::ExpireEntry(machine));
         }
@@ -251,6 +281,7 @@
             [self.random.random_range(0..3)];
         self.record(&format!("store: {fault:?}"));
         self.deployment.store.fail(fault);
+        self.begin_disturbance(Cause::Store);
         if fault == Fault::StalledWatches {
             self.deployment.store.compact();
         }
@@ -265,6 +296,14 @@
         self.schedule(wait, Event::LoseStore(copy));
     }
 
+    fn begin_disturbance(&mut self, cause: Cause) {
+        self.shared.audit.borrow_mut().disturbances.begin(Instant::now(), cause);
+    }
+
+    fn end_disturbance(&mut self, cause: Cause) {
+        self.shared.audit.borrow_mut().disturbances.end(Instant::now(), cause);
+    }
+
     fn rotate_key(&mut self) {
         let rotation = self.shared.rotation.get() + 1;
         self.record(&format!("key {rotation} replaces the previous one"));
@@ -288,10 +327,12 @@
             }
             Event::Resume(machine) => {
                 self.deployment.machines[machine].signal(Signal::SIGCONT);
+                self.end_disturbance(Cause::Pause(machine));
                 self.busy[machine] = false;
             }
             Event::Reconnect(machine) => {
                 self.links[machine].heal();
+                self.end_disturbance(Cause::Cut(machine));
                 self.cut[machine] = false;
                 self.schedule(REGISTRATION_DELAY, Event::Register(machine));
             }
@@ -310,12 +351,15 @@
                     self.shared.audit.borrow_mut().record_return(machine);
                 }
                 self.deployment.register(machine, "ready");
-                self.impaired[machine] = self.limited[machine];
+                self.impaired[machine] = self.limited[machine] || self.cold[machine];
             }
             Event::Register(_) => {}
             Event::Unregister(machine) => self.deployment.unregister(machine),
             Event::LoseStore(copy) => {
                 self.deployment.store.fail(Fault::Status(503));
+                self.begin_disturbance(Cause::Store);
+                self.begin_disturbance(Cause::Restore);
+                self.lose_evacuations();
                 let wait = self.random_millis(50..500);
                 self.schedule(wait, Event::RestoreStore(copy));
             }
@@ -323,11 +367,24 @@
                 self.record("store restored from a copy");
                 self.deployment.store.restore(&copy);
                 self.deployment.store.fail(Fault::None);
+                self.end_disturbance(Cause::Store);
                 let wait = self.random_millis(100..1_200);
                 self.schedule(wait, Event::WriteAgain);
             }
-            Event::WriteAgain => self.deployment.write_again(),
-            Event::HealStore => self.deployment.store.fail(Fault::None),
+            Event::WriteAgain => {
+                self.deployment.write_again();
+                self.write_evacuations_again();
+                self.end_disturbance(Cause::Restore);
+            }
+            Event::HealStore => {
+                self.deployment.store.fail(Fault::None);
+                self.end_disturbance(Cause::Store);
+            }
+            Event::Warm(machine) => {
+                self.cold[machine] = false;
+                self.impaired[machine] = self.draining[machine] || self.limited[machine];
+            }
+            Event::TakeBack(zone) => self.take_back(&zone),
             Event::LiftLimit(machine) => {
                 self.deployment.machines[machine].server.set_added_fields(&[]);
                 self.shared.audit.borrow_mut().record_limit_lifted(machine);
