--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -30,7 +30,7 @@
 /// only after a second.
 const RECENT_STEPS: usize = 3;
 /// The number of standard deviations by which the demand in the recent steps has to differ from the
-/// mean to count as a change.
+/// mean to count as a change. The averages over targets and reports remove the rest of the noise.
 const SIGNIFICANT_DEVIATIONS: f64 = 1.0;
 /// The largest number of classes. Further ones count as the last known one.
 const MAX_CLASSES: usize = 16;
@@ -56,6 +56,7 @@
 /// taken to be the one that limits the requests. With 0.85, the capacity rose while entries still
 /// followed a change, and then too many requests were admitted.
 const LIMITING_FRACTION: f64 = 0.92;
+
 /// The properties of a call that the meter needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Origin {
@@ -183,6 +184,13 @@
         &self.load
     }
 
+    /// Returns the load that was computed last, if that was within the window.
+    pub fn latest_load(&self, now: Instant) -> Option<&Load> {
+        let current = now.as_nanos() / STEP.as_nanos() as u64;
+        self.load_step.filter(|step| current.saturating_sub(*step) <= STEPS as u64)?;
+        Some(&self.load)
+    }
+
     fn compute_load(&mut self, limits: Limits) {
         let totals = self.totals.sum(self.complete_steps);
         let window_s = self.complete_steps as f64 * STEP.as_secs_f64();
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -49,7 +49,7 @@
     pub held_back_by_cold: u64,
     /// The state of load balancing by pool.
     pub pools: BTreeMap<id::Pool, balance::Dump>,
-    /// The latest reported loads of pools under pressure.
+    /// The latest loads of the own pool and of pools under pressure.
     pub loads: BTreeMap<id::Pool, PoolState>,
 }
 
