--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -24,11 +24,14 @@
 /// The number of doublings after which there is no bound. The rate is then 4,096 times that of the
 /// cold target, which is above that of any warm one.
 const MAX_DOUBLINGS: f64 = 12.0;
-/// The shortest time between two health checks, which take the target's time and are priced.
+/// The shortest time between two health checks while it is not known whether the target is cold.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The same time after a connection broke though the target is up. Health checks are priced, and a
+/// target may break connections again and again.
+const BROKEN_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// The time without a new entry after which the target itself is asked. Targets renew their entries
 /// about every two seconds, so the node or the target is cut off from the store.
-const SILENCE: Duration = Duration::from_secs(5);
+const SILENCE: Duration = Duration::from_secs(3);
 /// The end of a cold time that is not known yet.
 const UNKNOWN_END: Instant = Instant::from_nanos(u64::MAX);
 /// Keeps rounding from delaying a start by another wait.
@@ -287,10 +290,12 @@
     pub fn is_check_due(&self, now: Instant) -> bool {
         let is_active = |witness| self.claims.get(&witness).is_some_and(|claim| now < claim.until);
         let is_unsure = is_active(Witness::Start) || is_active(Witness::Observation);
-        let is_silent = now - self.heard_at >= SILENCE;
-        let is_wanted = is_unsure || is_silent || self.is_check_requested;
-        let is_early = self.last_check.is_some_and(|at| now - at < CHECK_INTERVAL);
-        self.limit.is_some() && is_wanted && !is_early
+        let (since, interval) = match (is_unsure, self.is_check_requested) {
+            (true, _) => (self.last_check, CHECK_INTERVAL),
+            (false, true) => (self.last_check, BROKEN_CHECK_INTERVAL),
+            (false, false) => (self.last_check.max(Some(self.heard_at)), SILENCE),
+        };
+        self.limit.is_some() && since.is_none_or(|at| now - at >= interval)
     }
 
     /// Records that a health check was sent.
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -5,6 +5,7 @@
         id,
         key::Digest,
         mesh::{
+            cold::Limit,
             fact::{Fact, FactStore, Heartbeat, Key, Target, Value},
             fleet::Fleet,
             lease::Lease,
@@ -16,6 +17,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -62,6 +64,35 @@
     assert!(facts.update_after(in_first_era(7), Revision(0)).facts.is_empty());
 }
 
+/// Each entry of a cold target differs in the remaining time, and must not count as a change of the
+/// targets. Peers still get it.
+#[test]
+fn remaining_cold_time() {
+    let mut facts = FactStore::default();
+    let old = target("t1", "10.0.0.1:80", 1);
+    let new = Target { cold_remaining: Duration::from_secs(4), ..old.clone() };
+    assert!(facts.insert(at(0), &fact(&old, 6)));
+    assert!(!facts.insert(at(1), &fact(&new, 7)));
+    facts.advance_position(in_first_era(7));
+    assert_eq!(facts.update_after(in_first_era(6), Revision(0)).facts, [fact(&new, 7)]);
+}
+
+/// Nodes of earlier versions pass documents on without their bounds on cold targets.
+#[test]
+fn document_without_bounds() {
+    let mut facts = FactStore::default();
+    let without = document(Vec::new(), Vec::new());
+    let limit = Limit { duration: Duration::from_secs(8), rate: "11/s".parse().expect("a rate") };
+    let cold = BTreeMap::from([("desk".parse().expect("a name"), limit)]);
+    let complete = Document { cold, ..without.clone() };
+    for (document, is_new) in [(&without, true), (&complete, true), (&without, false)] {
+        let value = Value::Document(Arc::new(document.clone()));
+        let (position, heartbeat) = (in_first_era(3), Heartbeat::default());
+        let fact = Fact { key: Key::Document, position, heartbeat, value };
+        assert_eq!(facts.insert(at(0), &fact), is_new);
+    }
+}
+
 #[test]
 fn missing_from_a_listing() {
     let mut facts = FactStore::default();
@@ -179,21 +210,25 @@
     Account { name, rank: 0, rate: None, burst: 0, keys: vec![Digest::of(key.as_bytes())] }
 }
 
-fn table(routes: Vec<Route>, accounts: Vec<Account>) -> Result<Table, Error> {
+fn document(routes: Vec<Route>, accounts: Vec<Account>) -> Document {
     let bounds = Bounds {
         head: Bytes(1),
         body: Bytes(1),
         head_timeout: Duration::ZERO,
         idle_timeout: Duration::ZERO,
     };
-    Table::new(Document {
+    Document {
         revision: Revision(1),
         routes,
         accounts,
         health: BTreeMap::new(),
         bounds,
         cold: BTreeMap::new(),
-    })
+    }
+}
+
+fn table(routes: Vec<Route>, accounts: Vec<Account>) -> Result<Table, Error> {
+    Table::new(document(routes, accounts))
 }
 
 #[test]
