tables: evacuated data centres

An operator of the project's own tables could take a data centre out of use only by editing each pool. A list evacuated, or one published value evacuated/DATA_CENTRE for each, excludes its targets from first sends and retries on all nodes. A data centre without targets in the tables is a fault with a hint. monsoonctl check and explain show the evacuated data centres, tables split writes their values.

--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -6,7 +6,7 @@
         source,
     },
     argh::FromArgs,
-    monsoon_lib::{settings::Settings, table::Builder, unit::Revision},
+    monsoon_lib::{id::DataCentre, settings::Settings, table::Builder, unit::Revision},
     std::{
         path::{Path, PathBuf},
         process::ExitCode,
@@ -80,6 +80,10 @@
                 set.accounts().len(),
                 set.key_count()
             );
+            if !set.evacuated().is_empty() {
+                let names: Vec<&str> = set.evacuated().iter().map(DataCentre::as_str).collect();
+                println!("evacuated data centres: {}", names.join(", "));
+            }
             Ok(0)
         }
         Err(errors) => {
--- a/cli/src/commands/tables/split.rs
+++ b/cli/src/commands/tables/split.rs
@@ -56,6 +56,10 @@
 }
 
 fn entry_name(section: Section, entry: &Value) -> &str {
-    let field = if section == Section::Keys { "digest" } else { "name" };
-    entry.get(field).and_then(Value::as_str).unwrap_or_default()
+    let name = match section {
+        Section::Evacuated => Some(entry),
+        Section::Keys => entry.get("digest"),
+        Section::Routes | Section::Pools | Section::Accounts => entry.get("name"),
+    };
+    name.and_then(Value::as_str).unwrap_or_default()
 }
--- a/cli/tests/session/tables.rs
+++ b/cli/tests/session/tables.rs
@@ -60,6 +60,21 @@
     insta::assert_snapshot!(session.record(&[]));
 }
 
+/// A name that the split values give in another way than the document would leave it in use.
+#[test]
+fn evacuated_tables() {
+    let mut session = Session::new("evacuated-tables");
+    session.write("tables.yaml", &format!("{TABLES}evacuated: [bkk-1]\n"));
+    session.run("check tables.yaml");
+    session.run("tables split tables.yaml --out published");
+    session.run("check published");
+    insta::assert_snapshot!(session.record(&[]));
+    insta::assert_snapshot!(
+        "evacuated_tables_value",
+        session.read("published/evacuated/bkk-1.yaml")
+    );
+}
+
 #[test]
 fn wrong_use() {
     let mut session = Session::new("wrong-use");
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -209,12 +209,14 @@
         self.emit(Action::TablesApplied(tables));
     }
 
-    /// Updates each pool's picker with the reachable targets and whether they are leaving.
+    /// Updates each pool's picker with the reachable targets outside of evacuated data centres, and
+    /// whether they are leaving.
     fn update_pickers(&mut self) {
         let Some(tables) = self.tables.clone() else { return };
         for (name, pool) in tables.pools() {
+            let usable = pool.targets_outside(tables.evacuated());
             let listed: Vec<balance::TargetInfo> =
-                pool.targets.iter().filter_map(|target| self.target_info(target)).collect();
+                usable.filter_map(|target| self.target_info(target)).collect();
             if !self.pickers.contains_key(name) {
                 let picker = balance::Picker::new(
                     self.settings.balance.clone(),
--- a/lib/src/node/dump.rs
+++ b/lib/src/node/dump.rs
@@ -11,7 +11,10 @@
         unit::Revision,
     },
     serde::Serialize,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Counters since the start of the process.
@@ -102,6 +105,9 @@
     pub class: Option<Class>,
     /// The timeout of the route.
     pub deadline: Option<Duration>,
+    /// The evacuated data centres, whose targets would not get the request.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated: BTreeSet<id::DataCentre>,
     /// The refusal that this node would return, or none if it would send the request to a target.
     pub refusal: Option<Refusal>,
     /// The reason as text.
@@ -168,6 +174,7 @@
             pool: None,
             class: None,
             deadline: None,
+            evacuated: BTreeSet::new(),
             refusal: None,
             because: "The request would be sent to a target of the pool.",
         };
@@ -203,6 +210,7 @@
         explanation.pool = Some(route.pool.clone());
         explanation.class = Some(route.class);
         explanation.deadline = Some(route.deadline);
+        explanation.evacuated = tables.evacuated().clone();
         if self.is_closed() {
             return Err(refused(Reason::Leaving, "The node is leaving."));
         }
@@ -220,6 +228,11 @@
                 return Err(refused(Reason::Rate, because));
             }
         }
+        let pool = tables.pools().get(&route.pool);
+        if pool.is_some_and(|pool| pool.targets_outside(tables.evacuated()).next().is_none()) {
+            let because = "All data centres with targets of the pool are evacuated.";
+            return Err(refused(Reason::NoTarget, because));
+        }
         Ok(())
     }
 }
--- a/lib/src/node/keyed.rs
+++ b/lib/src/node/keyed.rs
@@ -119,8 +119,10 @@
     /// another target.
     pub(super) fn owner_to_avoid(&self, state: &Call) -> Option<id::Vm> {
         let permit = state.keyed.as_ref()?.permit.as_ref()?;
-        let pool = self.tables.as_ref()?.pools().get(&state.offer.pool)?;
-        (pool.targets.len() > 1).then(|| permit.ticket.owner.vm.clone())
+        let tables = self.tables.as_ref()?;
+        let pool = tables.pools().get(&state.offer.pool)?;
+        (pool.targets_outside(tables.evacuated()).count() > 1)
+            .then(|| permit.ticket.owner.vm.clone())
     }
 
     /// Reports the outcome of a refused call to the owner of its idempotency key.
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -22,7 +22,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         fmt,
         str::FromStr,
         sync::Arc,
@@ -149,6 +149,16 @@
     pub targets: Vec<Target>,
 }
 
+impl Pool {
+    /// Returns the targets that are not in one of these data centres.
+    pub fn targets_outside<'a>(
+        &'a self,
+        evacuated: &'a BTreeSet<id::DataCentre>,
+    ) -> impl Iterator<Item = &'a Target> {
+        self.targets.iter().filter(|target| !evacuated.contains(&target.data_centre))
+    }
+}
+
 /// An entry of the accounts table: the rate limit of a client account.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Account {
@@ -184,6 +194,7 @@
     accounts: BTreeMap<id::Account, Arc<Account>>,
     #[serde(skip)]
     keys: HashMap<Digest, id::Account>,
+    evacuated: BTreeSet<id::DataCentre>,
 }
 
 impl Set {
@@ -207,6 +218,11 @@
         &self.accounts
     }
 
+    /// Returns the evacuated data centres, whose targets get no new requests.
+    pub fn evacuated(&self) -> &BTreeSet<id::DataCentre> {
+        &self.evacuated
+    }
+
     /// Returns the number of valid keys.
     pub fn key_count(&self) -> usize {
         self.keys.len()
--- a/lib/src/table/build.rs
+++ b/lib/src/table/build.rs
@@ -12,7 +12,7 @@
     serde::de::DeserializeOwned,
     serde_saphyr::Spanned,
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         fmt,
         sync::Arc,
         time::Duration,
@@ -116,6 +116,12 @@
     /// All shares of an account are zero.
     #[error("all shares are 0; give one data centre a weight or leave shares out")]
     NoShares,
+    /// No target is in an evacuated data centre.
+    #[error(
+        "no target is in data centre {:?}; correct the name, or leave it out of evacuated",
+        .0.as_str()
+    )]
+    UnknownDataCentre(id::DataCentre),
     /// The path is not in normal form.
     #[error(transparent)]
     Path(#[from] PathError),
@@ -144,6 +150,7 @@
     pools: Vec<(Place, wire::Pool)>,
     accounts: Vec<(Place, wire::Account)>,
     grants: Vec<(Place, wire::Grant)>,
+    evacuated: Vec<(Place, id::DataCentre)>,
     errors: Vec<Error>,
 }
 
@@ -160,6 +167,7 @@
         self.pools.extend(with_places(source, document.pools));
         self.accounts.extend(with_places(source, document.accounts));
         self.grants.extend(with_places(source, document.keys));
+        self.evacuated.extend(with_places(source, document.evacuated));
     }
 
     /// Adds one published value, whose name is `SECTION/NAME`.
@@ -185,6 +193,9 @@
             Section::Keys => {
                 self.parse(name, text).map(|entry| push_entry(&mut self.grants, &place, entry))
             }
+            Section::Evacuated => {
+                self.parse(name, text).map(|entry| push_entry(&mut self.evacuated, &place, entry))
+            }
         };
         if let Some(found) = found
             && found != rest
@@ -209,11 +220,12 @@
         let accounts = self.build_accounts();
         let routes = self.build_routes(&pools);
         let keys = self.build_keys(&accounts);
+        let evacuated = self.build_evacuated(&pools);
         if !self.errors.is_empty() {
             self.errors.sort_by(|a, b| a.place.cmp(&b.place));
             return Err(self.errors);
         }
-        Ok(Set { revision, routes, pools, accounts, keys })
+        Ok(Set { revision, routes, pools, accounts, keys, evacuated })
     }
 
     fn push_error(&mut self, place: Place, fault: Fault) {
@@ -360,6 +372,27 @@
         routes
     }
 
+    fn build_evacuated(
+        &mut self,
+        pools: &BTreeMap<id::Pool, Arc<Pool>>,
+    ) -> BTreeSet<id::DataCentre> {
+        let targets = pools.values().flat_map(|pool| &pool.targets);
+        let known: HashSet<&id::DataCentre> = targets.map(|target| &target.data_centre).collect();
+        let mut places = HashMap::new();
+        let mut evacuated = BTreeSet::new();
+        for (place, data_centre) in std::mem::take(&mut self.evacuated) {
+            if let Some(first) = places.insert(data_centre.clone(), place.clone()) {
+                let name = data_centre.as_str();
+                self.push_duplicate(Section::Evacuated, name, first, place.clone());
+            }
+            if !known.contains(&data_centre) {
+                self.push_error(place, Fault::UnknownDataCentre(data_centre.clone()));
+            }
+            evacuated.insert(data_centre);
+        }
+        evacuated
+    }
+
     fn build_keys(
         &mut self,
         accounts: &BTreeMap<id::Account, Arc<Account>>,
@@ -419,6 +452,12 @@
     }
 }
 
+impl Named for id::DataCentre {
+    fn name(&self) -> String {
+        self.to_string()
+    }
+}
+
 impl Named for wire::Grant {
     fn name(&self) -> String {
         self.digest.clone()
--- a/lib/src/table/wire.rs
+++ b/lib/src/table/wire.rs
@@ -8,7 +8,7 @@
     std::{collections::BTreeMap, fmt, str::FromStr},
 };
 
-/// One of the four tables. The name of a published value begins with its section.
+/// One of the four tables, or the evacuated data centres. The name of a published value begins with its section.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Section {
@@ -20,11 +20,14 @@
     Accounts,
     /// `keys/DIGEST`.
     Keys,
+    /// `evacuated/DATA_CENTRE`, whose value is the name again.
+    Evacuated,
 }
 
 impl Section {
     /// All sections, in document order.
-    pub const ALL: [Self; 4] = [Self::Routes, Self::Pools, Self::Accounts, Self::Keys];
+    pub const ALL: [Self; 5] =
+        [Self::Routes, Self::Pools, Self::Accounts, Self::Keys, Self::Evacuated];
 
     /// Returns the name used in documents and as the prefix of published values' names.
     pub const fn as_str(self) -> &'static str {
@@ -33,6 +36,7 @@
             Self::Pools => "pools",
             Self::Accounts => "accounts",
             Self::Keys => "keys",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -45,7 +49,7 @@
 
 /// An unknown section name.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("expected routes, pools, accounts or keys, not {0:?}")]
+#[error("expected routes, pools, accounts, keys or evacuated, not {0:?}")]
 pub struct SectionError(String);
 
 impl FromStr for Section {
@@ -65,6 +69,7 @@
     pub(super) pools: Vec<Spanned<Pool>>,
     pub(super) accounts: Vec<Spanned<Account>>,
     pub(super) keys: Vec<Spanned<Grant>>,
+    pub(super) evacuated: Vec<Spanned<id::DataCentre>>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/lib/tests/table_faults.rs
+++ b/lib/tests/table_faults.rs
@@ -1,6 +1,6 @@
 //! Validation reports all faults of the tables, each with its location and a way to fix it.
 
-use monsoon_lib::{table, unit::Revision};
+use monsoon_lib::{id, table, unit::Revision};
 
 const VALID: &str = "\
 routes:
@@ -82,3 +82,26 @@
         ]
     );
 }
+
+/// A misspelt data centre would leave the one that is meant in use.
+#[test]
+fn evacuated_data_centre() {
+    let mut builder = table::Builder::new();
+    builder.add_document("tables.yaml", &format!("{VALID}evacuated: [bkk-1]\n"));
+    let set = builder.finish(Revision(7)).expect("the tables are valid");
+    assert!(set.evacuated().iter().map(id::DataCentre::as_str).eq(["bkk-1"]));
+    let mut builder = table::Builder::new();
+    builder.add_document("tables.yaml", VALID);
+    builder.add_value("evacuated/bkk-1", "bkk-1");
+    assert_eq!(builder.finish(Revision(7)).expect("the tables are valid"), set);
+    let errors = errors(&format!("{VALID}evacuated:\n  - bkk-2\n  - bkk-1\n  - bkk-1\n"));
+    assert_eq!(
+        errors,
+        [
+            "tables.yaml:14: no target is in data centre \"bkk-2\"; correct the name, or leave it \
+             out of evacuated",
+            "tables.yaml:16: evacuated has \"bkk-1\" twice, first at tables.yaml:15; remove or \
+             rename one",
+        ]
+    );
+}
