--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -112,7 +112,11 @@
             Supplement,
         },
         bytes::{Bytes, BytesMut},
-        monsoon_lib::pressure::Share,
+        monsoon_lib::{
+            mesh::{gate::Rank, node::ForwardedRequest},
+            pressure::Share,
+        },
+        std::time::Duration,
     };
 
     async fn decode(head: Bytes) -> super::super::Received<PeerRequest> {
@@ -138,6 +142,36 @@
         assert_eq!(decode(frame.head).await.supplement, None);
     }
 
+    /// Nodes of the earlier version read a request in which shares were added.
+    #[test]
+    fn unchanged_layout() {
+        let mut forwarded = ForwardedRequest {
+            request: "a".into(),
+            target: "a".parse().expect("a name"),
+            caller: "a".parse().expect("a name"),
+            account: None,
+            rank: Rank { account: 1, route: 2, is_first_attempt: true, hash_bucket: 3 },
+            is_repeat: true,
+            is_idempotent: false,
+            fingerprint: 5,
+            objective: Duration::from_secs(6),
+            remaining: Duration::from_secs(7),
+            admitted: Share(51),
+            is_resend: true,
+            route: Some("a".parse().expect("a name")),
+        };
+        let encoded = postcard::to_stdvec(&forwarded).expect("it is small");
+        let earlier = [1, b'a', 1, b'a', 1, b'a', 0, 1, 2, 1, 3, 1, 0, 5, 6, 0, 7, 0];
+        assert_eq!(encoded, earlier);
+        let decoded: ForwardedRequest = postcard::from_bytes(&earlier).expect("it is complete");
+        assert_eq!((decoded.admitted, decoded.is_resend), (Share::ALL, false));
+        assert_eq!(Supplement::of_run(&decoded), None, "nothing is added in calm");
+        let supplement = Supplement::of_run(&forwarded).expect("the share is low");
+        forwarded.admitted = Share::ALL;
+        Supplement::complete_run(Some(&supplement), &mut forwarded);
+        assert_eq!(forwarded.admitted, Share(51));
+    }
+
     /// A supplement of a later version does not make the message unreadable.
     #[test]
     fn later_version() {
