demand: derive the declined fraction from the last 300 ms

The fraction over a second followed too late: in the first second after a pool began to decline, the resends of the window were used up.

--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -214,7 +214,10 @@
         let backlog = limits.waiting as f64 * fallback_s / BACKLOG_TIME.as_secs_f64();
         let corrected = (corrected - backlog).max(corrected * MIN_FREE_FRACTION);
         let demand: f64 = demands.iter().map(|of_class| f64::from(of_class.demand)).sum();
-        let resendable = demand * resendable_fraction(&totals, limits.resend_ratio);
+        // Resends are used up within a second after a pool begins to decline many calls.
+        let recent = self.totals.sum(self.complete_steps.min(RECENT_STEPS));
+        let sample = if recent.finished < MIN_DECLINE_SAMPLES { totals } else { recent };
+        let resendable = demand * resendable_fraction(&sample, limits.resend_ratio);
         let contended = totals.waits + totals.declined;
         let is_contended = contended >= MIN_CONTENDED_CALLS
             && f64::from(contended) >= CONTENDED_FRACTION * f64::from(totals.arrivals);
--- a/lib/tests/mesh_scarcity.rs
+++ b/lib/tests/mesh_scarcity.rs
@@ -368,13 +368,14 @@
 /// Where targets decline 55 % of the calls, resends are spent on requests that fail anyway.
 #[test]
 fn declining_pool() {
-    let calls = Play { decline_ms: 10_000, duration_ms: 14_000, ..CALM };
+    let calls = Play { decline_ms: 9_500, duration_ms: 13_500, ..CALM };
     let slices = play(&calls);
     let without = play(&Play { is_enabled: false, ..calls });
-    let wasted = |slices: &[Slice]| slices[22..].iter().map(WASTED).sum::<u32>();
-    assert!(wasted(&slices) * 4 < wasted(&without), "wasted runs, with and without admission");
-    let urgent = fraction(&slices[22..], |s| s.admitted[0], |s| s.offered[0]);
-    let other = fraction(&slices[22..], |s| s.admitted[1], |s| s.offered[1]);
+    assert_eq!(fraction(&slices[19..21], WASTED, ALL), 0.0, "wasted in the first second");
+    let wasted = |slices: &[Slice]| slices[21..].iter().map(WASTED).sum::<u32>();
+    assert!(wasted(&slices) * 6 < wasted(&without), "wasted runs, with and without admission");
+    let urgent = fraction(&slices[21..], |s| s.admitted[0], |s| s.offered[0]);
+    let other = fraction(&slices[21..], |s| s.admitted[1], |s| s.offered[1]);
     assert!(urgent > 0.4 && other < 0.1, "admitted: {urgent} of filings, {other} of views");
 }
 
