--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -57,6 +57,9 @@
 /// followed a change, and then too many requests were admitted.
 const LIMITING_FRACTION: f64 = 0.92;
 
+/// The smallest number of finished calls from which the fraction that is declined is derived.
+const MIN_DECLINE_SAMPLES: u32 = 20;
+
 /// The properties of a call that the meter needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Origin {
@@ -197,8 +200,12 @@
         let mut demands = std::mem::take(&mut self.load.demands);
         demands.clear();
         let fallback_s = self.mean_hold_s();
+        // A pool may begin to decline most of its calls from one moment to the next.
+        let recent = self.totals.sum(self.complete_steps.min(RECENT_STEPS));
+        let sample = if recent.finished < MIN_DECLINE_SAMPLES { totals } else { recent };
+        let accepted = sample.accepted_fraction();
         for meter in &self.classes {
-            let hold_s = meter.mean_hold_s().unwrap_or(fallback_s) * totals.accepted_fraction();
+            let hold_s = meter.mean_hold_s().unwrap_or(fallback_s) * accepted;
             let demand = self.arrival_rate(meter) * hold_s;
             if demand > 0.0 {
                 demands.push(ClassDemand { class: meter.class, demand: demand as f32 });
