--- a/lib/src/mesh/evacuation.rs
+++ b/lib/src/mesh/evacuation.rs
@@ -5,40 +5,37 @@
 //! docs/design/uneven-load.md.
 
 use {
-    super::position::Position,
     crate::id,
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeSet, time::Duration},
 };
 
-/// The retry delay given to callers whose request no target can take. It is shorter than the time
-/// that most callers wait for an answer, so that they can come back once.
+/// The retry delay given to callers when no target could take the request.
 pub const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// The evacuated data centres, each with the position at which its evacuation was written.
+/// The evacuated data centres.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Evacuations {
-    active: BTreeMap<id::DataCentre, Position>,
+    active: BTreeSet<id::DataCentre>,
 }
 
 impl Evacuations {
-    /// Records that the evacuation of a data centre was written at this position. Returns whether
-    /// the data centre was not evacuated before.
-    pub fn begin(&mut self, data_centre: &id::DataCentre, at: Position) -> bool {
-        self.active.insert(data_centre.clone(), at).is_none()
+    /// Records that a data centre is evacuated. Returns whether it was not evacuated before.
+    pub fn begin(&mut self, data_centre: &id::DataCentre) -> bool {
+        self.active.insert(data_centre.clone())
     }
 
     /// Records that the evacuation of a data centre was taken back. Returns whether it was evacuated.
     pub fn end(&mut self, data_centre: &id::DataCentre) -> bool {
-        self.active.remove(data_centre).is_some()
+        self.active.remove(data_centre)
     }
 
     /// Returns whether a data centre is evacuated.
     pub fn contains(&self, data_centre: &id::DataCentre) -> bool {
-        self.active.contains_key(data_centre)
+        self.active.contains(data_centre)
     }
 
     /// Returns the evacuated data centres in order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &id::DataCentre> {
-        self.active.keys()
+        self.active.iter()
     }
 }
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -214,7 +214,8 @@
         Some(now + throttle.wait(now, 0))
     }
 
-    /// Refuses calls that waited too long, or all if the data centre is evacuated, and starts queued calls while there are free slots.
+    /// Refuses calls that waited too long, or all if the data centre is evacuated, and starts queued
+    /// calls while there are free slots.
     pub fn tick(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = Vec::new();
         let expired: Vec<QueueKey> = self
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -176,7 +176,7 @@
                 self.fleet.remove(now, name);
             }
             (Key::Evacuation(data_centre), Value::Evacuated) => {
-                if self.evacuations.begin(data_centre, fact.position) {
+                if self.evacuations.begin(data_centre) {
                     changes.has_evacuation_changes = true;
                     log::info!(
                         data_centre = data_centre.as_str(), position:% = fact.position;
