demand: raise a reduced capacity while calls beyond it do not wait

While the calls that arrive exceeded the corrected capacity, the calibration left its factor as it was, also if no call waited and slots were free. Nodes of earlier versions refuse nothing at the entry, so in a rolling restart their calls kept that state, and the entries of this version refused requests for free slots until the others stopped.

The factor now rises towards 1 in that state while less than 1 % of the calls wait and less than 90 % of the slots are used.

--- a/lib/src/mesh/demand/calibration.rs
+++ b/lib/src/mesh/demand/calibration.rs
@@ -54,6 +54,9 @@
                 (factor * (1.0 - CHANGE)).max(MIN_FACTOR)
             }
             EntryState::Limited if has_room => (factor * (1.0 + CHANGE)).min(MAX_FACTOR),
+            // The calls that the reduced capacity excludes run without a wait. Nodes of earlier
+            // versions go on sending them, so that no other state would follow.
+            EntryState::Exceeding if has_room && factor < 1.0 => (factor * (1.0 + CHANGE)).min(1.0),
             // Nothing is refused, so the earlier correction is outdated.
             EntryState::Open if has_room => factor + (1.0 - factor).clamp(-CHANGE, CHANGE),
             _ => factor,
--- a/lib/tests/mesh_demand.rs
+++ b/lib/tests/mesh_demand.rs
@@ -165,6 +165,24 @@
     assert_near(f64::from(read(&mut meter, 20_000).capacity), 100.0);
 }
 
+/// While nodes of earlier versions, which refuse nothing at the entry, sent more than a reduced
+/// capacity, it was never raised again, and the other entries refused requests for free slots.
+#[test]
+fn reduced_for_good() {
+    let mut meter = Meter::default();
+    let limits = Limits { concurrency: 80, ..LIMITS };
+    feed(&mut meter, 0..20_000, limits, |_| Call {
+        arrival: Arrival::Queued,
+        ..call(origin(1.0, false))
+    });
+    let limits = Limits { concurrency: 64, ..LIMITS };
+    feed(&mut meter, 20_000..40_000, limits, |ms| {
+        call(origin(if ms % 10 == 0 { 0.5 } else { 1.0 }, false))
+    });
+    let capacity = meter.load(at(40_000), limits).capacity;
+    assert!(capacity > 50.0, "{capacity}: 50 of 64 slots are used and no call waits");
+}
+
 /// Loads are read with each response, several thousand times a second.
 #[test]
 fn computed_once_per_step() {
