cold: stop asking a target that is down once its pool has no bound

If the operator removed the bound on cold targets while the own target did not accept connections, Guard::record_up did nothing, so that the target counted as down for good. The node then connected to it again and again without a pause once it was back, and sent health checks without a pause while it was not.

A target without a bound no longer counts as down, and the node stops asking then. If the bound comes back, the target counts as down until it accepts a connection, and as cold from then on.

The loop in the daemon was not run.

--- a/daemon/src/mesh/cold.rs
+++ b/daemon/src/mesh/cold.rs
@@ -64,8 +64,8 @@
         self.deliver_releases(releases);
     }
 
-    /// Returns whether the own target accepted a connection. Records what it answers to a health
-    /// check, if it does.
+    /// Returns whether the own target accepted a connection, or the pool has ceased to have a bound,
+    /// so that it need not be tried again. Records what the target answers to a health check.
     async fn is_answered(&self) -> bool {
         let is_down = || self.node.borrow().cold_guard().is_down();
         while is_down() {
@@ -95,7 +95,7 @@
             None if !is_reachable => guard.record_down(now),
             None => {}
         }
-        is_reachable
+        is_reachable || !guard.is_down()
     }
 
     fn log_cold_target(&self, now: Instant) {
--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -213,9 +213,11 @@
         self.update(now);
     }
 
-    /// Returns whether the target did not accept connections when this was last tried.
+    /// Returns whether the target did not accept connections when this was last tried. It is not
+    /// known without a bound, since no connection is tried for it then.
     pub fn is_down(&self) -> bool {
-        self.claims.get(&Witness::Observation).is_some_and(|claim| claim.until == UNKNOWN_END)
+        let observation = self.claims.get(&Witness::Observation);
+        self.limit.is_some() && observation.is_some_and(|claim| claim.until == UNKNOWN_END)
     }
 
     /// Returns whether the target is cold.
--- a/lib/tests/mesh_cold.rs
+++ b/lib/tests/mesh_cold.rs
@@ -305,6 +305,23 @@
     assert_eq!(gate.rate_limit(at(1)), None);
 }
 
+/// A target that was down while the operator removed the bound counted as down for good, so that its
+/// node connected to it without a pause.
+#[test]
+fn bound_removed_while_down() {
+    let mut gate = Gate::new(SLOTS);
+    gate.cold_mut().set_limit(at(0), limit());
+    gate.cold_mut().record_down(at(1_000));
+    assert!(gate.cold().is_down());
+    gate.cold_mut().set_limit(at(2_000), None);
+    gate.cold_mut().record_up(at(3_000));
+    assert!(!gate.cold().is_down());
+    gate.cold_mut().set_limit(at(4_000), limit());
+    assert!(gate.cold().is_down() && gate.cold().is_cold(at(4_000)));
+    gate.cold_mut().record_up(at(4_100));
+    assert!(!gate.cold().is_down() && gate.cold().is_cold(at(4_100 + DURATION_MS - 1)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(60))]
 
