sync: list the store again where evacuations are not known

A reader that got later facts from a peer of an earlier version watched the store on from their position. It missed the evacuations up to there, and since it did not know them all any more, it passed none on to the nodes that follow it, until its next listing.

The watch now begins again with a listing if the evacuations are not known.

The watch itself was not run.

--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -195,6 +195,8 @@
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
+            // A peer of an earlier version may have passed on later facts without the evacuations.
+            is_listed &= self.node.borrow().facts().has_evacuations();
             let position = self.node.borrow().facts().position();
             let read = match is_listed {
                 true => tokio::select! {
--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -183,6 +183,12 @@
         self.position = self.position.max(to);
     }
 
+    /// Returns whether all evacuations that are in force are known. If not, changes after the position
+    /// don't complete them, and a listing is needed.
+    pub fn has_evacuations(&self) -> bool {
+        self.has_evacuations
+    }
+
     /// Records that all facts up to a position were received, with or without the evacuations.
     pub fn record_evacuations(&mut self, position: Position, has_evacuations: bool) {
         if position > self.position || (has_evacuations && position == self.position) {
--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -285,3 +285,21 @@
     node.apply_listing(NOW, &[listing(), vec![evacuation("zb", at(1, 10))]].concat(), at(1, 21));
     assert!(node.facts().update_after(at(1, 9), Revision(1)).has_evacuations);
 }
+
+/// A reader that got later facts from a node of an earlier version watched on from there. It missed
+/// the evacuations up to there, and passed none on any more.
+#[test]
+fn reader_lacks_evacuations() {
+    let mut reader = node();
+    reader.apply_listing(NOW, &listing(), at(1, 10));
+    assert!(reader.facts().has_evacuations());
+    let (facts, position) = (listing(), at(1, 20));
+    let earlier = Update { facts, position, is_complete: false, has_evacuations: false };
+    reader.apply_update(NOW, &earlier);
+    reader.apply(NOW, &[], at(1, 21));
+    assert!(!reader.facts().has_evacuations());
+    let listed = [listing(), vec![evacuation("zb", at(1, 15))]].concat();
+    reader.apply_listing(NOW, &listed, at(1, 22));
+    assert!(reader.facts().has_evacuations());
+    assert_destinations(&mut reader, &["za", "zc"]);
+}
