--- a/lib/tests/balance.rs
+++ b/lib/tests/balance.rs
@@ -59,7 +59,7 @@
 
 /// Sends calls for a second while the local targets report that they are full. The remote ones
 /// report the given load when a call reaches them. Returns the number of remote calls.
-fn send_beside_full_targets(remote: pressure::Report) -> u64 {
+fn send_beside_full_targets(remote: &pressure::Report) -> u64 {
     let settings = Settings { assumes_mean_load: true, ..Settings::default() };
     let mut picker = Picker::new(settings, "near".parse().expect("a valid name"), 7);
     picker.set_targets(Instant::ZERO, &two_data_centres());
@@ -73,7 +73,7 @@
         picker.call_finished(now, &picked, CallResult::Ok, Some(ms(50)));
         if picked == vm("c") || picked == vm("d") {
             remote_calls += 1;
-            picker.record_report(now, &picked, &remote);
+            picker.record_report(now, &picked, remote);
         }
     }
     remote_calls
@@ -83,14 +83,14 @@
 /// heard of them: only the calls that find out their load go there, one each 500 ms and target.
 #[test]
 fn unknown_remote_load() {
-    let remote_calls = send_beside_full_targets(report(100, 100));
+    let remote_calls = send_beside_full_targets(&report(100, 100));
     assert!((2..=8).contains(&remote_calls), "{remote_calls} remote calls");
 }
 
 /// Room elsewhere is still found and used.
 #[test]
 fn remote_room() {
-    let remote_calls = send_beside_full_targets(report(10, 100));
+    let remote_calls = send_beside_full_targets(&report(10, 100));
     assert!(remote_calls >= 900, "{remote_calls} remote calls");
 }
 
