mesh: a request cut off in the queue of a link did not run

Cause: when a link to a peer broke, all pending requests counted as possibly run, also those that still waited for the socket. Their callers got 502, and those that may not be repeated were not sent elsewhere.

Change: the writer of a link counts the bytes that the operating system accepted. A request whose last byte was not accepted when the writer has ended fails as not sent and is sent to another target. The peer acts on whole frames alone, so bytes of it that arrive later have no effect. A request that was accepted whole still counts as possibly run.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -13,6 +13,7 @@
 mod own;
 mod peers;
 mod process;
+mod progress;
 mod relay;
 mod replication;
 mod scarcity;
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -6,6 +6,7 @@
             self, Attachments, Envelope, Extension, Frame, PeerRequest, PeerResponse, Received,
             Supplement,
         },
+        progress::{End, Progress},
         socket,
     },
     bytes::{Bytes, BytesMut},
@@ -43,6 +44,9 @@
     /// The request was not sent.
     #[error("no link to {0}: {1}")]
     Unreachable(IpAddr, io::Error),
+    /// The link broke before the request was sent whole, so the peer will never act on it.
+    #[error("the link to {0} broke before the request was sent")]
+    NotSent(IpAddr),
     /// The link broke, and the request may have been sent.
     #[error("the link to {0} broke")]
     Broken(IpAddr),
@@ -66,6 +70,7 @@
 /// The client side of one link to a peer.
 struct Link {
     frames: mpsc::UnboundedSender<Frame>,
+    progress: Rc<Progress>,
     pending: RefCell<Pending>,
     last_received: Cell<Instant>,
     request_queued: Notify,
@@ -73,9 +78,10 @@
 }
 
 impl Link {
-    fn fail(&self) {
-        self.is_broken.set(true);
-        self.pending.borrow_mut().clear();
+    /// Queues a frame for sending, and returns its end, or `None` if nothing is sent any more.
+    fn queue(&self, frame: Frame) -> Option<End> {
+        let length = frame.head.len() + frame.body.len();
+        self.frames.send(frame).ok().map(|()| self.progress.queue(length))
     }
 }
 
@@ -105,7 +111,7 @@
         }
         if let Ok(frame) = frame::encode(self.number, PeerRequest::Cancel, Bytes::new()) {
             // If the link is broken, the cancellation can't be delivered.
-            let _ = self.link.frames.send(frame);
+            let _ = self.link.queue(frame);
         }
     }
 }
@@ -177,13 +183,18 @@
         link.pending.borrow_mut().insert(number, sender);
         link.request_queued.notify_one();
         let mut pending_request = PendingRequest { link: link.clone(), number, is_complete: false };
-        if link.frames.send(frame).is_err() {
+        let Some(end) = link.queue(frame) else {
+            link.pending.borrow_mut().remove(&number);
             pending_request.is_complete = true;
             return Err(unreachable(io::ErrorKind::BrokenPipe.into()));
-        }
-        let response = response.await.map_err(|_| Error::Broken(host));
+        };
+        let response = response.await;
         pending_request.is_complete = true;
-        response
+        // The link ends its pending requests after its writer, so the progress is final here.
+        response.map_err(|_| match link.progress.is_accepted(end) {
+            true => Error::Broken(host),
+            false => Error::NotSent(host),
+        })
     }
 
     /// Sends a message without a response to a peer.
@@ -195,7 +206,8 @@
         let unreachable = |error| Error::Unreachable(host, error);
         let link = self.link(host).await.map_err(unreachable)?;
         let frame = frame::encode(0, request, Bytes::new()).map_err(unreachable)?;
-        link.frames.send(frame).map_err(|_| unreachable(io::ErrorKind::BrokenPipe.into()))
+        let end = link.queue(frame);
+        end.map(drop).ok_or_else(|| unreachable(io::ErrorKind::BrokenPipe.into()))
     }
 
     /// Returns the peers whose responses are overdue.
@@ -222,7 +234,7 @@
             socket::connect_from(self.local_address, SocketAddr::new(host, self.port)).await?;
         let link = start_link(stream, host, self.unresponsive.clone());
         // The writer runs until the link breaks, so this fails only if the link is already broken.
-        let _ = link.frames.send(frame::encode(0, self.hello(), Bytes::new())?);
+        let _ = link.queue(frame::encode(0, self.hello(), Bytes::new())?);
         self.links.borrow_mut().insert(host, link.clone());
         Ok(link)
     }
@@ -237,12 +249,14 @@
     let (frames, frame_queue) = mpsc::unbounded_channel();
     let link = Rc::new(Link {
         frames,
+        progress: Rc::default(),
         pending: RefCell::default(),
         last_received: Cell::new(Instant::now()),
         request_queued: Notify::new(),
         is_broken: Cell::new(false),
     });
-    let writer = tokio::task::spawn_local(write_frames(write, frame_queue));
+    let writer = write_frames(write, frame_queue, link.progress.clone());
+    let writer = tokio::task::spawn_local(writer);
     let reader = link.clone();
     tokio::task::spawn_local(async move {
         let error = tokio::select! {
@@ -251,14 +265,22 @@
         };
         unresponsive.borrow_mut().remove(&host);
         log::debug!(error:% = error; "link to a peer closed");
-        reader.fail();
+        reader.is_broken.set(true);
         writer.abort();
+        // Whether a pending request was sent is known only once nothing is written any more. The
+        // result says that the writer was aborted, or that it ended before.
+        let _ = writer.await;
+        reader.pending.borrow_mut().clear();
     });
     link
 }
 
 /// Writes queued frames until the connection fails. Frames that are queued together share a write.
-pub async fn write_frames(mut to: OwnedWriteHalf, mut frame_queue: mpsc::UnboundedReceiver<Frame>) {
+pub async fn write_frames(
+    mut to: OwnedWriteHalf,
+    mut frame_queue: mpsc::UnboundedReceiver<Frame>,
+    progress: Rc<Progress>,
+) {
     while let Some(frame) = frame_queue.recv().await {
         let mut batch = BytesMut::new();
         let mut next = Some(frame);
@@ -267,9 +289,12 @@
             batch.extend_from_slice(&frame.body);
             next = frame_queue.try_recv().ok();
         }
-        if to.write_all(&batch).await.is_err() {
-            // The task that reads from the same connection detects and reports the failure.
-            return;
+        while !batch.is_empty() {
+            match to.write_buf(&mut batch).await {
+                Ok(accepted) if accepted > 0 => progress.accept(accepted),
+                // The task that reads from the same connection detects and reports the failure.
+                _ => return,
+            }
         }
     }
 }
@@ -315,7 +340,55 @@
             && silence >= PING_AFTER
             && let Ok(ping) = frame::encode(0, PeerRequest::Ping, Bytes::new())
         {
-            let _ = link.frames.send(ping);
+            let _ = link.queue(ping);
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        std::net::Ipv4Addr,
+        tokio::{net::TcpListener, task::LocalSet},
+    };
+
+    const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+    /// Guards against a request that counts as sent although the peer never got all of it, and
+    /// against one that counts as not sent although the peer can still read it whole.
+    #[tokio::test]
+    async fn stalled_link() {
+        let test = async {
+            let listener = TcpListener::bind((HOST, 0)).await.expect("a free port");
+            let port = listener.local_addr().expect("the address").port();
+            let links = Links::new(HOST, port, "dc-1".parse().expect("a name"));
+            let demand = || PeerRequest::Facts { after: Default::default(), wait_ms: 1 };
+            // More than the buffers of both sockets hold.
+            let large = Bytes::from(vec![0; 64 << 20]);
+            let sent = links.request(HOST, demand(), Bytes::new());
+            let cut = async {
+                // The first request is sent before the large one fills the connection.
+                tokio::time::sleep(PING_AFTER / 5).await;
+                links.request(HOST, demand(), large).await
+            };
+            let queued = async {
+                tokio::time::sleep(PING_AFTER / 2).await;
+                links.request(HOST, demand(), Bytes::new()).await
+            };
+            let (accepted, sent, cut, queued) = tokio::join!(listener.accept(), sent, cut, queued);
+            assert!(matches!(sent, Err(Error::Broken(_))), "{sent:?}");
+            assert!(matches!(cut, Err(Error::NotSent(_))), "{cut:?}");
+            assert!(matches!(queued, Err(Error::NotSent(_))), "{queued:?}");
+            // What is left in the buffers arrives after the sender gave up.
+            let (mut stream, _) = accepted.expect("a connection");
+            let mut buffer = BytesMut::new();
+            let mut requests = Vec::new();
+            while let Ok(received) = frame::read::<PeerRequest>(&mut stream, &mut buffer).await {
+                requests.push(received.envelope.number);
+            }
+            assert_eq!(requests, [0, 1], "the hello and the first request");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -10,6 +10,7 @@
             Supplement,
         },
         link,
+        progress::Progress,
         replication::{self, Query},
         socket,
     },
@@ -77,7 +78,8 @@
     }
     let (mut read, write) = stream.into_split();
     let (frames, frame_queue) = mpsc::unbounded_channel();
-    let writer = tokio::task::spawn_local(link::write_frames(write, frame_queue));
+    let writer = link::write_frames(write, frame_queue, Rc::<Progress>::default());
+    let writer = tokio::task::spawn_local(writer);
     let link = Rc::new(PeerLink { mesh, host, frames, runs: RefCell::default() });
     let mut buffer = BytesMut::new();
     let error = loop {
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -206,7 +206,7 @@
             Err(error) => {
                 self.mark_peer_unreachable(attempt.host, &error.to_string());
                 let result = match error {
-                    link::Error::Unreachable(..) => {
+                    link::Error::Unreachable(..) | link::Error::NotSent(_) => {
                         RunResult::Refused(Refusal::not_run(Reason::NoTarget))
                     }
                     link::Error::Broken(_) => RunResult::MayHaveRun(Reason::Broken),
