--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -30,7 +30,7 @@
 /// only after a second.
 const RECENT_STEPS: usize = 3;
 /// The number of standard deviations by which the demand in the recent steps has to differ from the
-/// mean to count as a change.
+/// mean to count as a change. The averages over targets and reports remove the rest of the noise.
 const SIGNIFICANT_DEVIATIONS: f64 = 1.0;
 /// The largest number of classes. Further ones count as the last known one.
 const MAX_CLASSES: usize = 16;
@@ -56,6 +56,10 @@
 /// taken to be the one that limits the requests. With 0.85, the capacity rose while entries still
 /// followed a change, and then too many requests were admitted.
 const LIMITING_FRACTION: f64 = 0.92;
+
+/// The smallest number of finished calls from which the fraction that is declined is derived.
+const MIN_DECLINE_SAMPLES: u32 = 20;
+
 /// The properties of a call that the meter needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Origin {
@@ -183,14 +187,25 @@
         &self.load
     }
 
+    /// Returns the load that was computed last, if that was within the window.
+    pub fn latest_load(&self, now: Instant) -> Option<&Load> {
+        let current = now.as_nanos() / STEP.as_nanos() as u64;
+        self.load_step.filter(|step| current.saturating_sub(*step) <= STEPS as u64)?;
+        Some(&self.load)
+    }
+
     fn compute_load(&mut self, limits: Limits) {
         let totals = self.totals.sum(self.complete_steps);
         let window_s = self.complete_steps as f64 * STEP.as_secs_f64();
         let mut demands = std::mem::take(&mut self.load.demands);
         demands.clear();
         let fallback_s = self.mean_hold_s();
+        // A pool may begin to decline most of its calls from one moment to the next.
+        let recent = self.totals.sum(self.complete_steps.min(RECENT_STEPS));
+        let sample = if recent.finished < MIN_DECLINE_SAMPLES { totals } else { recent };
+        let accepted = sample.accepted_fraction();
         for meter in &self.classes {
-            let hold_s = meter.mean_hold_s().unwrap_or(fallback_s) * totals.accepted_fraction();
+            let hold_s = meter.mean_hold_s().unwrap_or(fallback_s) * accepted;
             let demand = self.arrival_rate(meter) * hold_s;
             if demand > 0.0 {
                 demands.push(ClassDemand { class: meter.class, demand: demand as f32 });
--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -91,6 +91,10 @@
 
 impl TokenBucket {
     fn capacity(&self) -> f64 {
+        // An account whose record can't be understood has this rate, so that it is refused.
+        if self.rate == Rate(0) {
+            return 0.0;
+        }
         (self.burst as f64 * self.fraction).max(self.min_capacity)
     }
 
--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -230,3 +230,17 @@
     let fraction = shares.by_account[&account()].fraction;
     assert!((fraction - 0.5).abs() < 0.01, "{fraction}");
 }
+
+/// An account whose record can't be understood has the rate 0 so that it is refused, but nodes that
+/// started let one request through, and others up to three.
+#[test]
+fn zero_rate() {
+    let now = Instant::from_millis(1_000);
+    let mut limiter = RateLimiter::default();
+    limiter.set_node_count(now, 3);
+    limiter.set_table(now, &table(0));
+    for second in 0..5 {
+        let now = now + Duration::from_secs(second);
+        assert!(limiter.try_acquire(now, &account()).is_err(), "after {second} s");
+    }
+}
