mesh: tell callers of unsent requests when to come back

Cause: a request whose node could not be reached was refused with the refusal of its first attempt, which has no retry delay, although the last one had.

Change: such a refusal takes over the delay of the last one. Refusals for other reasons keep theirs, or none.

--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -291,12 +291,23 @@
         if let Some(account) = &call.account {
             self.rate_limiter.refund(account);
         }
-        let refusal = call.refusal.unwrap_or(last);
+        let refusal = call.refusal.map_or(last, |refusal| with_delay_of(refusal, last));
         let max_delay = (call.deadline - now) / RETRY_AFTER_DIVISOR;
         Refusal { retry_after: refusal.retry_after.map(|wait| wait.min(max_delay)), ..refusal }
     }
 }
 
+/// Returns the refusal of a request whose node could not be reached with the retry delay of the last
+/// one, since another target may be in reach by then. Other refusals keep their delay, or none.
+fn with_delay_of(refusal: Refusal, last: Refusal) -> Refusal {
+    match refusal {
+        Refusal { reason: Reason::NoTarget, retry_after: None, .. } => {
+            Refusal { retry_after: last.retry_after, ..refusal }
+        }
+        _ => refusal,
+    }
+}
+
 /// Returns the refusal with the shorter retry delay.
 fn with_shorter_delay(previous: Option<Refusal>, refusal: Refusal) -> Refusal {
     let wait = |refusal: &Refusal| refusal.retry_after.unwrap_or(Duration::MAX);
@@ -322,3 +333,19 @@
         AttemptResult::Lost(_) => CallResult::Broken,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a request that was not sent and whose caller is not told when to come back.
+    #[test]
+    fn retry_delay() {
+        let last = Refusal::not_run(Reason::NoTarget).after(NO_TARGET_RETRY_AFTER);
+        assert_eq!(with_delay_of(Refusal::not_run(Reason::NoTarget), last), last);
+        let crasher = Refusal::not_run(Reason::Crasher);
+        assert_eq!(with_delay_of(crasher, last), crasher);
+        let overload = Refusal::not_run(Reason::Overload).after(NO_TARGET_RETRY_AFTER * 2);
+        assert_eq!(with_delay_of(overload, last), overload);
+    }
+}
