own: a request that could not be sent does not count as a run

A refused connection counted as a run of about 0 ms, so that the mean holding time and with it the demand were too low just when the target came back.

--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -172,6 +172,8 @@
             }
             ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal)),
             ExchangeResult::Unreachable(error) => {
+                // Otherwise it would count as a run that held its slot for no time.
+                slot.is_sent = false;
                 self.record_unreachable_target(&error);
                 log::warn!(
                     request = forwarded.request.as_str(), error:% = error;
