--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -96,9 +96,11 @@
 }
 
 impl Node {
-    /// Selects the target of the next attempt, never one of an evacuated data centre. Peers in `unresponsive` have not answered in time;
-    /// they are used only if there is no other, and only for idempotent requests: of a request
-    /// that is sent to a peer behind a partition nobody knows whether it ran.
+    /// Selects the target of the next attempt, never one of an evacuated data centre.
+    ///
+    /// Peers in `unresponsive` have not answered in time; they are used only if there is no other, and
+    /// only for idempotent requests: of a request that is sent to a peer behind a partition nobody
+    /// knows whether it ran.
     ///
     /// # Errors
     ///
