demand: no capacity before the slots are known, and waiting calls are no reason to refuse

Without known slots no load is reported now. - A target counted as contended when 5 % of its calls waited, though these are served within their objective. Now 2 % have to be refused or declined, or half have to wait.

--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -41,11 +41,16 @@
 const MIN_HOLD_WEIGHT: f64 = 1e-3;
 /// The holding time assumed before the first call has ended.
 const INITIAL_HOLD_S: f64 = 0.05;
-/// The fraction of calls that have to wait, are refused or are declined from which on a target is
-/// contended.
-const CONTENDED_FRACTION: f64 = 0.05;
+/// The fraction of calls that are refused or declined from which on a target is contended. With eight
+/// calls a request, 0.02 lets 15 % of the requests fail.
+const LOST_FRACTION: f64 = 0.02;
+/// The fraction of calls that have to wait from which on a target is contended. With fewer, most
+/// waiting calls are served within their objective, which is no reason to refuse others.
+const WAITING_FRACTION: f64 = 0.5;
 /// The smallest number of such calls in the window. Fewer are noise.
 const MIN_CONTENDED_CALLS: u32 = 5;
+/// The fraction of the slots that waiting calls exceed in a backlog.
+const BACKLOG_FRACTION: f64 = 0.05;
 /// The time in which waiting calls are to be worked off. Runs whose calls wait make their next calls
 /// late, so that the demand seems to be little more than the capacity for as long as there is a
 /// queue. In less time than the delay of late reports, entries would refuse for a queue that is gone.
@@ -146,6 +151,7 @@
         let totals = self.totals.current_mut();
         totals.arrivals += 1;
         totals.waits += u32::from(arrival != Arrival::Started);
+        totals.refused += u32::from(arrival == Arrival::Refused);
         if origin.is_resend {
             return;
         }
@@ -195,6 +201,11 @@
     }
 
     fn compute_load(&mut self, limits: Limits) {
+        if limits.concurrency == 0 {
+            // The target's entry is not known yet, so neither is its capacity.
+            self.load = Load::default();
+            return;
+        }
         let totals = self.totals.sum(self.complete_steps);
         let window_s = self.complete_steps as f64 * STEP.as_secs_f64();
         let mut demands = std::mem::take(&mut self.load.demands);
@@ -218,16 +229,19 @@
         // What waiting calls will use is not given out again.
         let backlog = limits.waiting as f64 * fallback_s / BACKLOG_TIME.as_secs_f64();
         let corrected = (corrected - backlog).max(corrected * MIN_FREE_FRACTION);
-        let contended = totals.waits + totals.declined;
-        let is_contended = contended >= MIN_CONTENDED_CALLS
-            && f64::from(contended) >= CONTENDED_FRACTION * f64::from(totals.arrivals);
+        let lost = totals.refused + totals.declined;
+        let exceeds = |calls: u32, fraction: f64| {
+            calls >= MIN_CONTENDED_CALLS
+                && f64::from(calls) >= fraction * f64::from(totals.arrivals)
+        };
+        let is_contended = exceeds(lost, LOST_FRACTION) || exceeds(totals.waits, WAITING_FRACTION);
         self.load = Load { capacity: corrected as f32, demands, is_contended };
         if window_s == 0.0 {
             return;
         }
         let used = totals.hold_s / window_s / uncorrected;
         let waits = f64::from(totals.waits) / f64::from(totals.arrivals.max(1));
-        if limits.waiting as f64 > CONTENDED_FRACTION * slots {
+        if limits.waiting as f64 > BACKLOG_FRACTION * slots {
             self.backlog_step = self.step;
         }
         // The waits of a backlog stay in the window after it is gone.
--- a/lib/src/mesh/demand/window.rs
+++ b/lib/src/mesh/demand/window.rs
@@ -9,6 +9,8 @@
     pub(super) arrivals: u32,
     /// Calls that had to wait or were refused.
     pub(super) waits: u32,
+    /// Calls that were refused.
+    pub(super) refused: u32,
     /// Calls that ended, including declined ones.
     pub(super) finished: u32,
     /// Calls that the target declined.
@@ -31,6 +33,7 @@
         Self {
             arrivals: self.arrivals + other.arrivals,
             waits: self.waits + other.waits,
+            refused: self.refused + other.refused,
             finished: self.finished + other.finished,
             declined: self.declined + other.declined,
             hold_s: self.hold_s + other.hold_s,
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -259,7 +259,7 @@
         (!is_limited).then_some(latency)
     }
 
-    /// Returns whether calls are refused, declined or have to wait at a pool below the request's. A run
+    /// Returns whether calls are refused or declined at a pool below the request's. A run
     /// that failed has most likely failed for that, and its repeat would make all of its calls again
     /// and use up the resends of others.
     fn is_contended_below(&self, now: Instant, call: &Call) -> bool {
--- a/lib/src/mesh/scarcity.rs
+++ b/lib/src/mesh/scarcity.rs
@@ -58,7 +58,7 @@
     pub capacity: f32,
     /// The demands by class, in the order of the classes.
     pub demands: Vec<ClassDemand>,
-    /// Whether a significant part of the calls had to wait, was refused or was declined lately.
+    /// Whether a significant part of the calls was refused or declined lately, or most had to wait.
     pub is_contended: bool,
 }
 
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Returns whether the load is reported to other nodes: it is high, or calls are refused, declined
-    /// or have to wait.
+    /// Returns whether the load is reported to other nodes: it is high, or calls are refused or
+    /// declined.
     pub fn is_under_pressure(&self) -> bool {
         self.is_contended || self.pressure() >= MIN_PRESSURE
     }
--- a/lib/src/mesh/scarcity/tracker.rs
+++ b/lib/src/mesh/scarcity/tracker.rs
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Returns whether calls are refused, declined or have to wait at a pool below that of the path.
+    /// Returns whether calls are refused or declined at a pool below that of the path.
     pub fn is_contended_below(&self, now: Instant, path: Path<'_>) -> bool {
         let entries = self.loads.get(path.route).into_iter().flatten();
         let mut below = entries.filter(|entry| entry.via == *path.pool && entry.pool != entry.via);
--- a/lib/tests/mesh_demand.rs
+++ b/lib/tests/mesh_demand.rs
@@ -86,6 +86,21 @@
     assert!(read(&mut meter, 3_800).demand() < 16.0, "12.5 are asked for");
 }
 
+/// After a restart of all nodes, each reported the capacity 0 until it knew its target's entry, and
+/// nearly all requests were refused for some seconds.
+#[test]
+fn unknown_slots() {
+    let unknown = Limits { concurrency: 0, ..LIMITS };
+    let mut meter = Meter::default();
+    feed(&mut meter, 0..1_000, unknown, |_| Call {
+        arrival: Arrival::Refused,
+        ..call(origin(1.0, false))
+    });
+    assert!(!meter.load(at(1_000), unknown).is_under_pressure());
+    feed(&mut meter, 1_000..2_500, LIMITS, |_| call(origin(1.0, false)));
+    assert_eq!(read(&mut meter, 2_500).capacity, 100.0, "the slots are known now");
+}
+
 /// Declined calls counted as demand for slots, so that requests were refused while slots were free.
 #[test]
 fn declined_calls() {
