daemon/target: bounds what a target sends before its final head

A target that sends informational (1xx) heads without end kept the node's processor busy until the deadline, since hyper skips them without a limit. platform/tests/endless_answers.rs::informational_heads lasted until the deadline of 2 s and its grace of 120 ms, and on a busy processor at times beyond the bound of the test, 3 s.

The connection now records how many bytes arrived since its exchange began, and fails at 256 KiB without the head of the final response.

--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -1,5 +1,7 @@
 //! The pool of HTTP/1.1 connections to the node's own target. Each carries one request at a time.
 
+mod stream;
+
 use {
     super::{
         adapter::{HeaderAdapter, Health, ResponseVerdict},
@@ -21,6 +23,7 @@
         mesh::node::ForwardedRequest,
     },
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
+    stream::{Exchange, Stream},
     tokio::{task::JoinHandle, time::Instant},
 };
 
@@ -77,11 +80,14 @@
 }
 
 /// The task that drives a connection. Dropping it closes the connection.
-struct Connection(JoinHandle<()>);
+struct Connection {
+    task: JoinHandle<()>,
+    exchange: Rc<Exchange>,
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -132,6 +138,7 @@
         };
         let response_future = async {
             let response = sender.send_request(message).await?;
+            connection.exchange.head_received();
             Ok::<_, hyper::Error>(response)
         };
         let timeout = forwarded.remaining + RESPONSE_GRACE;
@@ -194,10 +201,12 @@
         while let Some(idle) = self.idle.borrow_mut().pop() {
             let is_safe = is_idempotent || now - idle.idle_since < NON_IDEMPOTENT_MAX_IDLE;
             if idle.expires_at > now && is_safe && idle.sender.is_ready() {
+                idle.connection.exchange.begin();
                 return Ok((idle.sender, idle.connection));
             }
         }
-        let stream = socket::connect(self.address).await?;
+        let stream = Stream::new(socket::connect(self.address).await?);
+        let exchange = stream.exchange();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -208,7 +217,7 @@
                 log::debug!(error:% = error; "connection to the target closed");
             }
         });
-        Ok((sender, Connection(task)))
+        Ok((sender, Connection { task, exchange }))
     }
 
     /// Connects to the target without sending a request.
