daemon/target: requests whose head was not sent whole did not run

If the connection to the own target broke, or the deadline came, the request counted as possibly run, also if the target never got its whole head. A target cannot begin such a request.

The stream of the connection looks for the end of the head among the bytes that the operating system accepted. An exchange that fails before it, and without any byte of an answer, is Unreachable; writing is closed first, so that this stays true. A broken connection makes the node ask whether the target has started again, as before.

--- a/daemon/src/mesh/cold.rs
+++ b/daemon/src/mesh/cold.rs
@@ -35,9 +35,12 @@
 
     /// Records that a call found the own target not accepting connections.
     pub fn record_unreachable_target(self: &Rc<Self>, error: &io::Error) {
-        // Errors of other kinds come from requests that can't be encoded.
-        if error.kind() != io::ErrorKind::Other {
-            self.record_crashed_target();
+        match error.kind() {
+            // The request can't be encoded, or its time was over.
+            io::ErrorKind::Other => {}
+            // An open connection broke. The target may have started again meanwhile.
+            io::ErrorKind::BrokenPipe => self.ask_restarted_target(),
+            _ => self.record_crashed_target(),
         }
     }
 
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -177,7 +177,7 @@
                 self.record_unreachable_target(&error);
                 log::warn!(
                     request = forwarded.request.as_str(), error:% = error;
-                    "can't connect to the target"
+                    "can't send the request to the target"
                 );
                 Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)))
             }
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -66,7 +66,7 @@
         /// The header fields of the response.
         fields: Vec<Field>,
     },
-    /// The request was not sent.
+    /// The target has not received the whole head of the request, so it does not run it.
     Unreachable(io::Error),
     /// The request may have been executed. The text describes the cause.
     MayHaveRun(Reason, String),
@@ -136,19 +136,18 @@
             Ok(connection) => connection,
             Err(error) => return ExchangeResult::Unreachable(error),
         };
+        let exchange = connection.exchange.clone();
         let response_future = async {
             let response = sender.send_request(message).await?;
-            connection.exchange.head_received();
+            exchange.head_received();
             Ok::<_, hyper::Error>(response)
         };
         let timeout = forwarded.remaining + RESPONSE_GRACE;
         let sent_at = Instant::now();
         let response = match tokio::time::timeout(timeout, response_future).await {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Reason::Broken, error.to_string()),
-            Err(_) => {
-                return ExchangeResult::MayHaveRun(Reason::Deadline, "response timed out".into());
-            }
+            Ok(Err(error)) => return exchange.fail(Reason::Broken, error.to_string()),
+            Err(_) => return exchange.fail(Reason::Deadline, "response timed out".into()),
         };
         let headers = response.headers().clone();
         let status = response.status().as_u16();
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -47,6 +47,10 @@
     /// Sends the first text, and then the second one again and again until the client closes the
     /// connection. `HEAD` stands for a status line and the id of the request.
     Endless(&'static str, &'static str),
+    /// Resets new connections at once.
+    Rejects,
+    /// Never reads from new connections.
+    NeverReads,
 }
 
 /// A request that a server began to execute, or shed.
@@ -248,6 +252,12 @@
 }
 
 async fn serve_connection(shared: Arc<Shared>, mut stream: TcpStream) {
+    let behaviour = shared.state.lock().expect("the server's state").behaviour;
+    match behaviour {
+        Behaviour::Rejects => return drop(stream.set_zero_linger()),
+        Behaviour::NeverReads => std::future::pending().await,
+        _ => {}
+    }
     let mut buffer = Vec::new();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer).await {
         let run = Run { head, body, at: Instant::now(), is_executed: false, is_completed: false };
@@ -370,7 +380,9 @@
         )
     };
     let bytes = match behaviour {
-        Behaviour::Normal | Behaviour::Sheds => response("200 OK", id),
+        Behaviour::Normal | Behaviour::Sheds | Behaviour::Rejects | Behaviour::NeverReads => {
+            response("200 OK", id)
+        }
         Behaviour::Fails => response("500 Failed", id),
         Behaviour::WrongId => response("200 OK", "another"),
         Behaviour::ExtraAnswer => response("200 OK", id) + &response("200 OK", "extra"),
