cli: pools, which pools are short of capacity

Cause: the gauges of a pool are views of single nodes. An operator had to compare the metrics of all nodes to find the scarcest pool.

Change: `monsoonctl pools FILE...` reads the text of several nodes, shows the scarcest pool first with the view of the node that sees it the scarcest, adds refusals, resends and denied resends by cause, and shows the state of each node's own target. Metrics that are absent are left out. The command exits with 1 where a pool's lowest share is below 1. Metrics are read by a small parser of lines, because no declared crate parses this text.

The resend metrics are those of docs/design/declining-pools.md, part A, which no node has yet; their fixture new.prom is edited by hand. m0.prom and m2.prom are the text of nodes in entry_admission::overloaded_pool_below, calm.prom that of a node without a store.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -4,6 +4,7 @@
 mod dump;
 mod explain;
 mod key;
+mod pools;
 mod status;
 mod tables;
 
@@ -29,6 +30,7 @@
     Dump(dump::Dump),
     Explain(explain::Explain),
     Key(key::Key),
+    Pools(pools::Pools),
     Status(status::Status),
     Tables(tables::Tables),
 }
@@ -45,6 +47,7 @@
             Command::Dump(command) => command.run(),
             Command::Explain(command) => command.run(),
             Command::Key(command) => command.run(),
+            Command::Pools(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Tables(command) => command.run(),
         }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of commands, with hints for the operator.
 
 use {
+    crate::metrics,
     monsoon_lib::{id, key},
     std::{io, path::PathBuf},
 };
@@ -21,6 +22,30 @@
         /// The error of the operating system.
         error: io::Error,
     },
+    /// A file with metrics or log lines of a node can't be read.
+    #[error("can't read {path}: {error}", path = .path.display())]
+    ReadLines {
+        /// The path of the file.
+        path: PathBuf,
+        /// The error of the operating system.
+        error: io::Error,
+    },
+    /// A file is given twice.
+    #[error("{path} is given twice", path = .0.display())]
+    RepeatedFile(PathBuf),
+    /// A line of metrics can't be read.
+    #[error("{path}:{line}: {error}", path = .path.display())]
+    Metrics {
+        /// The path of the file.
+        path: PathBuf,
+        /// The number of the line.
+        line: usize,
+        /// The fault.
+        error: metrics::Error,
+    },
+    /// A file contains no metrics of a node.
+    #[error("{path}: no metrics of a node", path = .0.display())]
+    NoMetrics(PathBuf),
     /// A file can't be written.
     #[error("can't write {path}: {error}", path = .path.display())]
     Write {
@@ -80,6 +105,17 @@
             Self::Read { .. } => {
                 Some("check the path; a directory must hold SECTION/NAME.yaml files")
             }
+            Self::ReadLines { .. } => {
+                Some("give files with what one node has written, or `-` for standard input")
+            }
+            Self::RepeatedFile(_) => Some("give one file for each node"),
+            Self::Metrics { error: metrics::Error::Repeated(_), .. } => {
+                Some("give one file for each node; this one has the metrics of several")
+            }
+            Self::Metrics { .. } | Self::NoMetrics(_) => Some(
+                "give the whole text that a node of the users' platform serves at its metrics \
+                 address, as with `curl http://VM:PORT/metrics`",
+            ),
             Self::Write { .. } => {
                 Some("check that the directory exists and that you may write to it")
             }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,8 @@
 
 mod commands;
 mod error;
+mod layout;
+mod metrics;
 mod node;
 mod source;
 
@@ -18,13 +20,25 @@
 fn main() -> ExitCode {
     let args: Vec<String> =
         env::args_os().skip(1).map(|arg| arg.to_string_lossy().into_owned()).collect();
-    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let args = separate_stdin(args.iter().map(String::as_str).collect());
     match Arguments::from_args(&["monsoonctl"], &args) {
         Ok(arguments) => run(arguments),
         Err(exit) => print_early_exit(&exit),
     }
 }
 
+/// Inserts `--` before a `-` that stands for standard input, because `argh` takes it for an option.
+/// Only `pools`, which has no options, reads files so.
+fn separate_stdin(mut args: Vec<&str>) -> Vec<&str> {
+    let reads_lines = matches!(args.first(), Some(&"pools"));
+    let is_separated = args.contains(&"--");
+    let stdin = args.iter().position(|arg| *arg == source::STDIN);
+    if let Some(index) = stdin.filter(|_| reads_lines && !is_separated) {
+        args.insert(index, "--");
+    }
+    args
+}
+
 fn run(arguments: Arguments) -> ExitCode {
     match arguments.run() {
         Ok(code) => code,
--- a/cli/src/source.rs
+++ b/cli/src/source.rs
@@ -1,16 +1,20 @@
 //! Reading and writing tables as files: single documents, and directories with one file per
-//! published value.
+//! published value. Reading metrics and log lines of nodes.
 
 use {
     crate::error::Error,
     monsoon_lib::table::{Builder, Section},
     std::{
-        fs,
+        collections::BTreeMap,
+        fs::{self, File},
+        io::{self, BufRead, BufReader},
         path::{Path, PathBuf},
     },
 };
 
 const EXTENSION: &str = "yaml";
+/// The path that stands for standard input.
+pub const STDIN: &str = "-";
 
 /// Adds the tables at a path to a builder. The path is a document, or a directory of
 /// `SECTION/NAME.yaml` files.
@@ -72,3 +76,46 @@
     files.sort();
     Ok(files)
 }
+
+/// Names nodes by the names of the files that hold their metrics or log lines. Where two files
+/// have the same name, the whole paths are used.
+///
+/// # Errors
+///
+/// Returns an error if a path is given twice, since its values would count twice.
+pub fn node_names(paths: &[PathBuf]) -> Result<Vec<String>, Error> {
+    let file_name = |path: &Path| {
+        path.file_name()
+            .map_or_else(|| path.display().to_string(), |name| name.to_string_lossy().into_owned())
+    };
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for (index, path) in paths.iter().enumerate() {
+        if paths[..index].contains(path) {
+            return Err(Error::RepeatedFile(path.clone()));
+        }
+        *counts.entry(file_name(path)).or_default() += 1;
+    }
+    let name = |path: &PathBuf| match counts[&file_name(path)] {
+        1 => file_name(path),
+        _ => path.display().to_string(),
+    };
+    Ok(paths.iter().map(name).collect())
+}
+
+/// Reads the lines of a file, or of standard input for the path `-`. They need not be UTF-8.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be opened. The iterator returns one if reading fails.
+pub fn lines(path: &Path) -> Result<impl Iterator<Item = Result<Vec<u8>, Error>>, Error> {
+    let path = path.to_owned();
+    let reader: Box<dyn BufRead> = match path.as_os_str() == STDIN {
+        true => Box::new(io::stdin().lock()),
+        false => match File::open(&path) {
+            Ok(file) => Box::new(BufReader::new(file)),
+            Err(error) => return Err(Error::ReadLines { path, error }),
+        },
+    };
+    let lines = reader.split(b'\n');
+    Ok(lines.map(move |line| line.map_err(|error| Error::ReadLines { path: path.clone(), error })))
+}
--- a/cli/tests/session/main.rs
+++ b/cli/tests/session/main.rs
@@ -3,5 +3,6 @@
 mod keys;
 mod node;
 mod nodes;
+mod operator;
 mod session;
 mod tables;
