cli: trace, what happened to a request

Cause: to follow a refused request, an operator had to search the logs of all nodes for its id, find its calls and look up the last `pool is scarce` line.

Change: `monsoonctl trace ID FILE...` joins the log lines of the request and of its calls by time, and tells in one line how the request ended and when its pool was last reported scarce. Lines that are not JSON log lines, and lines that nodes left out because of their limit, are counted and reported. The command exits with 1 where the request was refused.

The fixtures are lines that three nodes logged in entry_admission::overloaded_pool_below; the truncated line in m1.log is added by hand.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -7,6 +7,7 @@
 mod pools;
 mod status;
 mod tables;
+mod trace;
 
 use {crate::error::Error, argh::FromArgs, std::process::ExitCode};
 
@@ -33,6 +34,7 @@
     Pools(pools::Pools),
     Status(status::Status),
     Tables(tables::Tables),
+    Trace(trace::Trace),
 }
 
 impl Arguments {
@@ -50,6 +52,7 @@
             Command::Pools(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Tables(command) => command.run(),
+            Command::Trace(command) => command.run(),
         }
     }
 }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -46,6 +46,9 @@
     /// A file contains no metrics of a node.
     #[error("{path}: no metrics of a node", path = .0.display())]
     NoMetrics(PathBuf),
+    /// No log line is about the request.
+    #[error("no line is about the request {0}")]
+    UnknownRequest(String),
     /// A file can't be written.
     #[error("can't write {path}: {error}", path = .path.display())]
     Write {
@@ -116,6 +119,10 @@
                 "give the whole text that a node of the users' platform serves at its metrics \
                  address, as with `curl http://VM:PORT/metrics`",
             ),
+            Self::UnknownRequest(_) => Some(
+                "give the logs of all nodes; a request that was answered at its first attempt \
+                 leaves no line",
+            ),
             Self::Write { .. } => {
                 Some("check that the directory exists and that you may write to it")
             }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -28,9 +28,9 @@
 }
 
 /// Inserts `--` before a `-` that stands for standard input, because `argh` takes it for an option.
-/// Only `pools`, which has no options, reads files so.
+/// Only commands without options read files so.
 fn separate_stdin(mut args: Vec<&str>) -> Vec<&str> {
-    let reads_lines = matches!(args.first(), Some(&"pools"));
+    let reads_lines = matches!(args.first(), Some(&("pools" | "trace")));
     let is_separated = args.contains(&"--");
     let stdin = args.iter().position(|arg| *arg == source::STDIN);
     if let Some(index) = stdin.filter(|_| reads_lines && !is_separated) {
--- a/cli/tests/session/operator.rs
+++ b/cli/tests/session/operator.rs
@@ -27,3 +27,18 @@
     }
     insta::assert_snapshot!(session.record(&[]));
 }
+
+#[test]
+fn traced_requests() {
+    let mut session = Session::new("traced-requests");
+    session.write("m0.log", include_str!("fixtures/m0.log"));
+    session.write("m1.log", include_str!("fixtures/m1.log"));
+    session.write("m2.log", include_str!("fixtures/m2.log"));
+    session.run("trace id104 m0.log m1.log m2.log");
+    session.run("trace id69 m0.log m1.log m2.log");
+    session.run_with(include_str!("fixtures/m2.log"), "trace id69.1 m0.log m1.log -");
+    session.run("trace id m0.log m1.log m2.log");
+    session.run("trace id104 m.log");
+    session.run("trace id104");
+    insta::assert_snapshot!(session.record(&[]));
+}
