--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -4,8 +4,10 @@
 mod dump;
 mod explain;
 mod key;
+mod pools;
 mod status;
 mod tables;
+mod trace;
 
 use {crate::error::Error, argh::FromArgs, std::process::ExitCode};
 
@@ -29,8 +31,10 @@
     Dump(dump::Dump),
     Explain(explain::Explain),
     Key(key::Key),
+    Pools(pools::Pools),
     Status(status::Status),
     Tables(tables::Tables),
+    Trace(trace::Trace),
 }
 
 impl Arguments {
@@ -45,8 +49,10 @@
             Command::Dump(command) => command.run(),
             Command::Explain(command) => command.run(),
             Command::Key(command) => command.run(),
+            Command::Pools(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Tables(command) => command.run(),
+            Command::Trace(command) => command.run(),
         }
     }
 }
