daemon/target: requests whose time is over before they are sent did not run

A call that left the gate's queue, or got its connection, at or after its deadline was still sent to the target, and mostly ended as unknown (504).

The connection is awaited only until the deadline. A request whose time is over then is refused as not run, with reason deadline, which callers get as 503. It has no retry delay, as nobody waits for its answer any more. Such a refusal no longer counts against the target at the sending node.

--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -181,6 +181,10 @@
                 );
                 Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)))
             }
+            ExchangeResult::Expired => {
+                slot.is_sent = false;
+                Err(RunResult::Refused(Refusal::not_run(Reason::Deadline)))
+            }
             ExchangeResult::MayHaveRun(reason, cause) => {
                 log::warn!(
                     request = forwarded.request.as_str(), cause = cause.as_str();
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -68,6 +68,8 @@
     },
     /// The target has not received the whole head of the request, so it does not run it.
     Unreachable(io::Error),
+    /// The time of the request was over before its first byte was sent.
+    Expired,
     /// The request may have been executed. The text describes the cause.
     MayHaveRun(Reason, String),
 }
@@ -128,13 +130,17 @@
         request: &Rc<Request>,
         is_idempotent: bool,
     ) -> ExchangeResult {
+        let began = Instant::now();
         let message = match build_request(request, header_adapter.added_fields(forwarded)) {
             Ok(message) => message,
             Err(error) => return ExchangeResult::Unreachable(io::Error::other(error)),
         };
-        let (mut sender, connection) = match self.take_connection(is_idempotent).await {
-            Ok(connection) => connection,
-            Err(error) => return ExchangeResult::Unreachable(error),
+        let connecting = self.take_connection(is_idempotent);
+        let connecting = tokio::time::timeout(forwarded.remaining, connecting);
+        let (mut sender, connection) = match connecting.await {
+            Ok(Ok(connection)) if began.elapsed() < forwarded.remaining => connection,
+            Ok(Ok(_)) | Err(_) => return ExchangeResult::Expired,
+            Ok(Err(error)) => return ExchangeResult::Unreachable(error),
         };
         let exchange = connection.exchange.clone();
         let response_future = async {
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -325,7 +325,8 @@
             Outcome::NotRun
                 if matches!(
                     refusal.reason,
-                    Reason::Overload | Reason::Leaving | Reason::Evacuated
+                    // A wait that used up the time of the request is no fault of the target.
+                    Reason::Deadline | Reason::Evacuated | Reason::Leaving | Reason::Overload
                 ) =>
             {
                 CallResult::Shed
