daemon/link: non-idempotent requests are sent over live links only

During a cut, requests are sent over links that nobody has noticed to be cut. Nobody knows whether they ran, so they end with 502.

A non-idempotent request is sent to another node only if a message arrived on the link in the last 100 ms. Otherwise the peer is pinged, and any message is awaited for up to 100 ms or an eighth of the route's latency objective. If none comes, the request is refused as not sent, and another target is picked. The peer stays in use for others. Concurrent requests share a ping.

--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -1,5 +1,7 @@
 //! The links that this node opened to its peers. Each multiplexes many requests.
 
+mod liveness;
+
 use {
     super::{
         frame::{
@@ -10,6 +12,7 @@
         socket,
     },
     bytes::{Bytes, BytesMut},
+    liveness::Liveness,
     monsoon_lib::id,
     std::{
         cell::{Cell, Ref, RefCell},
@@ -47,6 +50,9 @@
     /// The link broke before the request was sent whole, so the peer will never act on it.
     #[error("the link to {0} broke before the request was sent")]
     NotSent(IpAddr),
+    /// No message arrived on the link in time, so the request was not sent.
+    #[error("the link to {0} is silent")]
+    Silent(IpAddr),
     /// The link broke, and the request may have been sent.
     #[error("the link to {0} broke")]
     Broken(IpAddr),
@@ -73,6 +79,7 @@
     progress: Rc<Progress>,
     pending: RefCell<Pending>,
     last_received: Cell<Instant>,
+    liveness: Liveness,
     request_queued: Notify,
     is_broken: Cell<bool>,
 }
@@ -144,6 +151,25 @@
         }
     }
 
+    /// Makes sure that messages arrive from a peer, before a request is sent to it that may not run
+    /// twice. `objective` is the latency objective of the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer can't be reached, or stays silent.
+    pub async fn confirm(&self, host: IpAddr, objective: Duration) -> Result<(), Error> {
+        let link = self.link(host).await.map_err(|error| Error::Unreachable(host, error))?;
+        let ping = || {
+            if let Ok(ping) = frame::encode(0, PeerRequest::Ping, Bytes::new()) {
+                let _ = link.queue(ping);
+            }
+        };
+        match link.liveness.confirm(objective, ping).await {
+            true => Ok(()),
+            false => Err(Error::Silent(host)),
+        }
+    }
+
     /// Sends a request to a peer and waits for its response.
     ///
     /// # Errors
@@ -252,6 +278,7 @@
         progress: Rc::default(),
         pending: RefCell::default(),
         last_received: Cell::new(Instant::now()),
+        liveness: Liveness::default(),
         request_queued: Notify::new(),
         is_broken: Cell::new(false),
     });
@@ -307,6 +334,7 @@
                 let Received { envelope, extension, supplement, body } = received;
                 let Envelope { number, message } = envelope;
                 link.last_received.set(Instant::now());
+                link.liveness.record_message();
                 if let Some(response_sender) = link.pending.borrow_mut().remove(&number) {
                     // The requester may have been cancelled in the meantime.
                     let response = Response { message, extension, supplement, body };
@@ -391,4 +419,44 @@
         };
         LocalSet::new().run_until(test).await;
     }
+
+    /// Answers pings on one link until it is cut, and counts them.
+    async fn answer_pings(listener: TcpListener, pings: Rc<Cell<u32>>, is_cut: Rc<Cell<bool>>) {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buffer = BytesMut::new();
+        while let Ok(received) = frame::read::<PeerRequest>(&mut stream, &mut buffer).await {
+            if matches!(received.envelope.message, PeerRequest::Ping) && !is_cut.get() {
+                pings.set(pings.get() + 1);
+                let pong = frame::encode(0, PeerResponse::Pong, Bytes::new()).expect("a frame");
+                stream.write_all(&pong.head).await.expect("the link is open");
+            }
+        }
+    }
+
+    /// Guards against a request that may not run twice and is sent over a link that was cut, and
+    /// against a ping for each of many requests.
+    #[tokio::test]
+    async fn silent_link() {
+        let test = async {
+            let listener = TcpListener::bind((HOST, 0)).await.expect("a free port");
+            let port = listener.local_addr().expect("the address").port();
+            let links = Links::new(HOST, port, "dc-1".parse().expect("a name"));
+            let (pings, is_cut) = (Rc::<Cell<u32>>::default(), Rc::<Cell<bool>>::default());
+            tokio::task::spawn_local(answer_pings(listener, pings.clone(), is_cut.clone()));
+            let confirm = || links.confirm(HOST, Duration::from_secs(1));
+            for expected in [1, 2] {
+                let (first, second) = tokio::join!(confirm(), confirm());
+                assert!(first.is_ok() && second.is_ok() && confirm().await.is_ok());
+                assert_eq!(pings.get(), expected);
+                tokio::time::sleep(liveness::MAX_SILENCE).await;
+            }
+            is_cut.set(true);
+            let began = Instant::now();
+            let hasty = links.confirm(HOST, Duration::from_millis(80)).await;
+            assert!(matches!(hasty, Err(Error::Silent(_))), "{hasty:?}");
+            assert!(began.elapsed() < liveness::MAX_SILENCE, "{:?}", began.elapsed());
+            assert!(matches!(confirm().await, Err(Error::Silent(_))));
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -21,7 +21,7 @@
         },
         time::Instant,
     },
-    std::rc::Rc,
+    std::{net::IpAddr, rc::Rc, time::Duration},
 };
 
 /// The outcome of a request for its caller.
@@ -126,7 +126,10 @@
                 let loads = node.reported_loads(clock::now(), forwarded.route.as_ref());
                 (result, body, Some(loads))
             }
-            false => self.run_on_peer(&in_flight.attempt, forwarded, request).await,
+            false => {
+                let objective = in_flight.call.route.objective;
+                self.run_on_peer(&in_flight.attempt, forwarded, objective, request).await
+            }
         };
         in_flight.is_complete = true;
         let now = clock::now();
@@ -157,13 +160,23 @@
     }
 
     /// Runs a request on a peer's target. Returns the result, the body of the response, and the loads
-    /// of pools if the peer's gate decided on the request.
+    /// of pools if the peer's gate decided on the request. `objective` is that of the route.
     async fn run_on_peer(
         &self,
         attempt: &Attempt,
-        forwarded: ForwardedRequest,
+        mut forwarded: ForwardedRequest,
+        objective: Duration,
         request: &Request,
     ) -> (RunResult, Bytes, Option<Vec<PoolLoad>>) {
+        if !forwarded.is_idempotent {
+            let began = clock::now();
+            if let Err(error) = self.links.confirm(attempt.host, objective).await {
+                return (self.link_failure(attempt.host, &error), Bytes::new(), None);
+            }
+            let waited = clock::now() - began;
+            forwarded.remaining = forwarded.remaining.saturating_sub(waited);
+            forwarded.objective = forwarded.objective.saturating_sub(waited);
+        }
         let supplement = Supplement::of_run(&forwarded);
         let run = PeerRequest::Run {
             forwarded,
@@ -203,16 +216,21 @@
                 log::warn!(host:% = attempt.host; "unexpected type of response from a peer");
                 (RunResult::MayHaveRun(Reason::Broken), Bytes::new(), None)
             }
-            Err(error) => {
-                self.mark_peer_unreachable(attempt.host, &error.to_string());
-                let result = match error {
-                    link::Error::Unreachable(..) | link::Error::NotSent(_) => {
-                        RunResult::Refused(Refusal::not_run(Reason::NoTarget))
-                    }
-                    link::Error::Broken(_) => RunResult::MayHaveRun(Reason::Broken),
-                };
-                (result, Bytes::new(), None)
+            Err(error) => (self.link_failure(attempt.host, &error), Bytes::new(), None),
+        }
+    }
+
+    /// Returns the result of a request whose link failed.
+    fn link_failure(&self, host: IpAddr, error: &link::Error) -> RunResult {
+        // A peer that is silent for a moment may be out of CPU time, and stays in use for others.
+        if !matches!(error, link::Error::Silent(_)) {
+            self.mark_peer_unreachable(host, &error.to_string());
+        }
+        match error {
+            link::Error::Unreachable(..) | link::Error::NotSent(_) | link::Error::Silent(_) => {
+                RunResult::Refused(Refusal::not_run(Reason::NoTarget))
             }
+            link::Error::Broken(_) => RunResult::MayHaveRun(Reason::Broken),
         }
     }
 
