daemon/metrics: causes of unknown outcomes

A refusal with outcome unknown did not tell whether the target, its node or the link between nodes was at fault.

monsoon_unknown_outcomes_total counts these refusals by cause, from a fixed set, at the node that refuses its caller. Its log line refused has the field cause. Nodes derive the cause from the reason in a response; a mismatched response, which has the reason of a broken connection, is told in a new supplement that earlier versions ignore.

The two link causes have no test with real nodes.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -5,6 +5,7 @@
 
 pub mod adapter;
 mod buffer;
+mod cause;
 mod cold;
 mod frame;
 mod front;
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -1,6 +1,7 @@
 //! Data that was added to messages after their layout was fixed.
 
 use {
+    super::super::cause::Cause,
     monsoon_lib::{
         id,
         mesh::{cold, node::ForwardedRequest, position::Era, scarcity::PoolLoad},
@@ -37,6 +38,14 @@
         /// them because it follows a node of an earlier version.
         evacuations: Option<Vec<EvacuationFact>>,
     },
+    /// Completes `PeerResponse::RunFinished` instead of `RunFinished` where the reason in the message
+    /// does not tell why the outcome is unknown.
+    RunLost {
+        /// Why the outcome is unknown.
+        cause: Cause,
+        /// As in `RunFinished`.
+        loads: Vec<PoolLoad>,
+    },
 }
 
 /// How much longer a target is cold.
@@ -77,14 +86,25 @@
     }
 
     /// Returns what a response to a run carries beyond its message.
-    pub fn of_loads(loads: Vec<PoolLoad>) -> Option<Self> {
-        (!loads.is_empty()).then_some(Self::RunFinished { loads })
+    pub fn of_result(cause: Option<Cause>, loads: Vec<PoolLoad>) -> Option<Self> {
+        match cause.filter(|cause| Cause::of_reason(cause.reason()) != *cause) {
+            Some(cause) => Some(Self::RunLost { cause, loads }),
+            None => (!loads.is_empty()).then_some(Self::RunFinished { loads }),
+        }
+    }
+
+    /// Returns why the outcome of a run is unknown, if the response says so.
+    pub const fn cause(&self) -> Option<Cause> {
+        match self {
+            Self::RunLost { cause, .. } => Some(*cause),
+            _ => None,
+        }
     }
 
     /// Returns the loads that came with a response to a run.
     pub fn into_loads(self) -> Vec<PoolLoad> {
         match self {
-            Self::RunFinished { loads } => loads,
+            Self::RunFinished { loads } | Self::RunLost { loads, .. } => loads,
             Self::Run { .. } | Self::Facts { .. } => Vec::new(),
         }
     }
--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -147,7 +147,7 @@
     let body = match read_body(mesh, body, &mut reservation).await {
         Ok(body) => body,
         Err(refusal) => {
-            mesh.log_refusal(&head, &refusal, None, None);
+            mesh.log_refusal(&head, &refusal, None, None, None);
             return refuse(mesh, &refusal, Some(&head.request));
         }
     };
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        cause::Cause,
         scarcity,
     },
     crate::clock,
@@ -24,6 +25,7 @@
     registry: Registry,
     answered: Histogram,
     refused: IntCounterVec,
+    unknown_outcomes: IntCounterVec,
     refused_by_standing: IntCounterVec,
     sent_to_target: IntCounter,
     in_flight: IntGauge,
@@ -59,6 +61,15 @@
         let refused = Opts::new("monsoon_refused_total", "Requests without a target's answer.");
         let refused = IntCounterVec::new(refused, &["reason", "outcome"])?;
         registry.register(Box::new(refused.clone()))?;
+        let unknown_outcomes = Opts::new(
+            "monsoon_unknown_outcomes_total",
+            "Requests refused although they may have run, by why nobody knows.",
+        );
+        let unknown_outcomes = IntCounterVec::new(unknown_outcomes, &["cause"])?;
+        registry.register(Box::new(unknown_outcomes.clone()))?;
+        for cause in Cause::ALL {
+            unknown_outcomes.with_label_values(&[cause.as_str()]).inc_by(0);
+        }
         let refused_by_standing = Opts::new(
             "monsoon_entry_refused_by_standing_total",
             "Requests refused for a pool below, by how their callers came to send them.",
@@ -120,6 +131,7 @@
             registry,
             answered,
             refused,
+            unknown_outcomes,
             refused_by_standing,
             sent_to_target,
             in_flight,
@@ -157,6 +169,11 @@
         self.entry_refused.with_label_values(&[pool.as_str()]).inc();
     }
 
+    /// Counts a request that was refused although it may have run.
+    pub fn unknown_outcome(&self, cause: Cause) {
+        self.unknown_outcomes.with_label_values(&[cause.as_str()]).inc();
+    }
+
     /// Counts a refusal by its reason and outcome.
     pub fn refused(&self, refusal: &Refusal) {
         let labels = [refusal.reason.as_str(), refusal.outcome.as_str()];
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        cause::Cause,
         frame::{PeerRequest, RunResult},
         target::ExchangeResult,
     },
@@ -77,13 +78,15 @@
 }
 
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
-    /// Runs a request on the node's own target and returns its result and the body of the response.
+    /// Runs a request on the node's own target and returns its result, the body of the response, and
+    /// why the outcome is unknown, if it is.
     pub async fn run_locally(
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
-    ) -> (RunResult, Bytes) {
-        let outcome = self.run_through_gate(forwarded, request).await;
+    ) -> (RunResult, Bytes, Option<Cause>) {
+        let mut cause = None;
+        let outcome = self.run_through_gate(forwarded, request, &mut cause).await;
         let (result, body) = match outcome {
             Ok((has_failed, answer)) => {
                 let Answer { status, fields, body } = answer;
@@ -92,13 +95,14 @@
             Err(result) => (result, Bytes::new()),
         };
         self.log_result(forwarded, &result);
-        (result, body)
+        (result, body, cause)
     }
 
     async fn run_through_gate(
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
+        unknown_cause: &mut Option<Cause>,
     ) -> Result<(bool, Answer), RunResult> {
         let now = clock::now();
         let own = self.node.borrow().own_target();
@@ -163,7 +167,7 @@
         {
             self.record_announcement(&forwarded.target, fields);
         }
-        slot.is_broken = matches!(exchange, ExchangeResult::MayHaveRun(Reason::Broken, _));
+        slot.is_broken = matches!(&exchange, ExchangeResult::MayHaveRun(cause, _) if cause.reason() == Reason::Broken);
         slot.is_declined = matches!(exchange, ExchangeResult::Declined { .. });
         match exchange {
             ExchangeResult::Answered { has_failed, answer } => {
@@ -185,12 +189,13 @@
                 slot.is_sent = false;
                 Err(RunResult::Refused(Refusal::not_run(Reason::Deadline)))
             }
-            ExchangeResult::MayHaveRun(reason, cause) => {
+            ExchangeResult::MayHaveRun(cause, error) => {
                 log::warn!(
-                    request = forwarded.request.as_str(), cause = cause.as_str();
+                    request = forwarded.request.as_str(), cause = error.as_str();
                     "no complete response from the target"
                 );
-                Err(RunResult::MayHaveRun(reason))
+                *unknown_cause = Some(cause);
+                Err(RunResult::MayHaveRun(cause.reason()))
             }
         }
     }
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -212,7 +212,7 @@
 ) {
     let _open_request = link.mesh.track_request();
     forwarded.route = link.mesh.find_route(&request);
-    let (result, body) = link.mesh.run_locally(&forwarded, &request).await;
+    let (result, body, cause) = link.mesh.run_locally(&forwarded, &request).await;
     link.runs.borrow_mut().remove(&number);
     let (response, supplement) = {
         let mut node = link.mesh.node.borrow_mut();
@@ -221,7 +221,7 @@
         let loads = node.reported_loads(now, forwarded.route.as_ref());
         let is_traced = node.runs().has_traced_locally(now);
         let result = result.for_peer();
-        (PeerResponse::RunFinished { result, load, is_traced }, Supplement::of_loads(loads))
+        (PeerResponse::RunFinished { result, load, is_traced }, Supplement::of_result(cause, loads))
     };
     send_response_with(&link, number, response, supplement.as_ref(), body);
 }
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        cause::Cause,
         frame::{Attachments, PeerRequest, PeerResponse, RunResult, Supplement},
         link::{self, Response},
     },
@@ -13,7 +14,7 @@
     },
     bytes::Bytes,
     monsoon_lib::{
-        call::{Reason, Refusal},
+        call::{Outcome, Reason, Refusal},
         id,
         mesh::{
             node::{Attempt, AttemptResult, Call, ForwardedRequest, Head, NextStep},
@@ -68,13 +69,15 @@
                 if let Some(pool) = &pool {
                     self.metrics.refused_at_entry(pool);
                 }
-                self.log_refusal(head, &refusal, None, pool.as_ref());
+                self.log_refusal(head, &refusal, None, pool.as_ref(), None);
                 return Reply::Refused(refusal);
             }
         };
         let request = Rc::new(request);
         // The error response of a target. It is returned to the caller unless a retry succeeds.
         let mut failure = None;
+        // Why the outcome of the last attempt that may have run is unknown.
+        let mut cause = None;
         loop {
             let attempt = {
                 let unresponsive = self.links.unresponsive();
@@ -82,30 +85,45 @@
             };
             let attempt = match attempt {
                 Ok(attempt) => attempt,
-                Err(refusal) => return self.finish(head, &call, failure, refusal),
+                Err(refusal) => return self.finish(head, &call, failure, refusal, cause),
             };
-            let (next, result, body) = self.send_attempt(&mut call, attempt, &request).await;
+            let (next, result, body, unknown_cause) =
+                self.send_attempt(&mut call, attempt, &request).await;
+            cause = unknown_cause.or(cause);
             if let RunResult::Answered { status, fields, .. } = result {
                 failure = Some(Answer { status, fields, body });
             }
             match (next, failure.take()) {
                 (NextStep::Answer, Some(answer)) => return Reply::Answer(answer),
                 (NextStep::Answer, None) => {
-                    return Reply::Refused(Refusal::unknown(Reason::Broken));
+                    let refusal = Refusal::unknown(Reason::Broken);
+                    return self.finish(head, &call, None, refusal, cause);
                 }
                 (NextStep::Refuse(refusal), last) => {
-                    return self.finish(head, &call, last, refusal);
+                    return self.finish(head, &call, last, refusal, cause);
                 }
                 (NextStep::Resend, last) => failure = last,
             }
         }
     }
 
-    fn finish(&self, head: &Head, call: &Call, failure: Option<Answer>, refusal: Refusal) -> Reply {
+    fn finish(
+        &self,
+        head: &Head,
+        call: &Call,
+        failure: Option<Answer>,
+        refusal: Refusal,
+        cause: Option<Cause>,
+    ) -> Reply {
         if let Some(answer) = failure {
             return Reply::Answer(answer);
         }
-        self.log_refusal(head, &refusal, Some(call), None);
+        let is_unknown = refusal.outcome == Outcome::Unknown;
+        let cause = is_unknown.then(|| cause.unwrap_or(Cause::Other));
+        if let Some(cause) = cause {
+            self.metrics.unknown_outcome(cause);
+        }
+        self.log_refusal(head, &refusal, Some(call), None, cause);
         Reply::Refused(refusal)
     }
 
@@ -114,17 +132,17 @@
         call: &mut Call,
         attempt: Attempt,
         request: &Rc<Request>,
-    ) -> (NextStep, RunResult, Bytes) {
+    ) -> (NextStep, RunResult, Bytes, Option<Cause>) {
         let started = clock::now();
         let forwarded = self.node.borrow().forwarded_request(started, call, &attempt);
         let mut in_flight =
             InFlightAttempt { mesh: self, call, attempt, started, is_complete: false };
-        let (result, body, loads) = match in_flight.attempt.is_own {
+        let (result, body, loads, cause) = match in_flight.attempt.is_own {
             true => {
-                let (result, body) = self.run_locally(&forwarded, request).await;
+                let (result, body, cause) = self.run_locally(&forwarded, request).await;
                 let mut node = self.node.borrow_mut();
                 let loads = node.reported_loads(clock::now(), forwarded.route.as_ref());
-                (result, body, Some(loads))
+                (result, body, Some(loads), cause)
             }
             false => {
                 let objective = in_flight.call.route.objective;
@@ -156,7 +174,7 @@
                 "attempt failed"
             );
         }
-        (next, result, body)
+        (next, result, body, cause)
     }
 
     /// Runs a request on a peer's target. Returns the result, the body of the response, and the loads
@@ -167,11 +185,12 @@
         mut forwarded: ForwardedRequest,
         objective: Duration,
         request: &Request,
-    ) -> (RunResult, Bytes, Option<Vec<PoolLoad>>) {
+    ) -> (RunResult, Bytes, Option<Vec<PoolLoad>>, Option<Cause>) {
         if !forwarded.is_idempotent {
             let began = clock::now();
             if let Err(error) = self.links.confirm(attempt.host, objective).await {
-                return (self.link_failure(attempt.host, &error), Bytes::new(), None);
+                let (result, cause) = self.link_failure(attempt.host, &error);
+                return (result, Bytes::new(), None, cause);
             }
             let waited = clock::now() - began;
             forwarded.remaining = forwarded.remaining.saturating_sub(waited);
@@ -209,39 +228,54 @@
                 if let Some(load) = &load {
                     node.record_load(now, &attempt.target, load);
                 }
+                let cause = match &result {
+                    RunResult::MayHaveRun(reason) => {
+                        let said = supplement.as_ref().and_then(Supplement::cause);
+                        Some(said.unwrap_or(Cause::of_reason(*reason)))
+                    }
+                    _ => None,
+                };
                 let loads = load.map(|_| supplement.map_or(Vec::new(), Supplement::into_loads));
-                (result, body, loads)
+                (result, body, loads, cause)
             }
             Ok(_) => {
                 log::warn!(host:% = attempt.host; "unexpected type of response from a peer");
-                (RunResult::MayHaveRun(Reason::Broken), Bytes::new(), None)
+                let cause = Cause::Other;
+                (RunResult::MayHaveRun(cause.reason()), Bytes::new(), None, Some(cause))
+            }
+            Err(error) => {
+                let (result, cause) = self.link_failure(attempt.host, &error);
+                (result, Bytes::new(), None, cause)
             }
-            Err(error) => (self.link_failure(attempt.host, &error), Bytes::new(), None),
         }
     }
 
-    /// Returns the result of a request whose link failed.
-    fn link_failure(&self, host: IpAddr, error: &link::Error) -> RunResult {
+    /// Returns the result of a request whose link failed, and why its outcome is unknown, if it is.
+    fn link_failure(&self, host: IpAddr, error: &link::Error) -> (RunResult, Option<Cause>) {
         // A peer that is silent for a moment may be out of CPU time, and stays in use for others.
         if !matches!(error, link::Error::Silent(_)) {
             self.mark_peer_unreachable(host, &error.to_string());
         }
-        match error {
+        let cause = match error {
             link::Error::Unreachable(..) | link::Error::NotSent(_) | link::Error::Silent(_) => {
-                RunResult::Refused(Refusal::not_run(Reason::NoTarget))
+                return (RunResult::Refused(Refusal::not_run(Reason::NoTarget)), None);
             }
-            link::Error::Broken(_) => RunResult::MayHaveRun(Reason::Broken),
-        }
+            link::Error::Broken(_) => Cause::LinkBroke,
+            link::Error::TimedOut(_) => Cause::LinkTimeout,
+        };
+        (RunResult::MayHaveRun(cause.reason()), Some(cause))
     }
 
     /// Logs a refusal with the beliefs of the node that decided it. `pool` is the pool that cannot
-    /// carry the request, if it was refused for that at the entry.
+    /// carry the request, if it was refused for that at the entry. `cause` tells why the outcome is
+    /// unknown, if it is.
     pub fn log_refusal(
         &self,
         head: &Head,
         refusal: &Refusal,
         call: Option<&Call>,
         pool: Option<&id::Pool>,
+        cause: Option<Cause>,
     ) {
         let node = self.node.borrow();
         let now = clock::now();
@@ -256,6 +290,7 @@
             request = head.request.as_str(),
             reason = refusal.reason.as_str(),
             outcome = refusal.outcome.as_str(),
+            cause = cause.map(Cause::as_str),
             retry_after_ms = wait,
             route,
             account,
