--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -6,6 +6,7 @@
     super::{
         adapter::{HeaderAdapter, Health, ResponseVerdict},
         buffer::Buffer,
+        cause::Cause,
         socket,
     },
     crate::http::message::{Answer, Field, Request, end_to_end_fields},
@@ -18,10 +19,7 @@
         header::{CONNECTION, HOST, HeaderName, HeaderValue},
     },
     hyper_util::rt::TokioIo,
-    monsoon_lib::{
-        call::{Reason, Refusal},
-        mesh::node::ForwardedRequest,
-    },
+    monsoon_lib::{call::Refusal, mesh::node::ForwardedRequest},
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
     stream::{Exchange, Stream},
     tokio::{task::JoinHandle, time::Instant},
@@ -68,8 +66,10 @@
     },
     /// The target has not received the whole head of the request, so it does not run it.
     Unreachable(io::Error),
+    /// The time of the request was over before its first byte was sent.
+    Expired,
     /// The request may have been executed. The text describes the cause.
-    MayHaveRun(Reason, String),
+    MayHaveRun(Cause, String),
 }
 
 struct IdleConnection {
@@ -128,13 +128,17 @@
         request: &Rc<Request>,
         is_idempotent: bool,
     ) -> ExchangeResult {
+        let began = Instant::now();
         let message = match build_request(request, header_adapter.added_fields(forwarded)) {
             Ok(message) => message,
             Err(error) => return ExchangeResult::Unreachable(io::Error::other(error)),
         };
-        let (mut sender, connection) = match self.take_connection(is_idempotent).await {
-            Ok(connection) => connection,
-            Err(error) => return ExchangeResult::Unreachable(error),
+        let connecting = self.take_connection(is_idempotent);
+        let connecting = tokio::time::timeout(forwarded.remaining, connecting);
+        let (mut sender, connection) = match connecting.await {
+            Ok(Ok(connection)) if began.elapsed() < forwarded.remaining => connection,
+            Ok(Ok(_)) | Err(_) => return ExchangeResult::Expired,
+            Ok(Err(error)) => return ExchangeResult::Unreachable(error),
         };
         let exchange = connection.exchange.clone();
         let response_future = async {
@@ -146,20 +150,22 @@
         let sent_at = Instant::now();
         let response = match tokio::time::timeout(timeout, response_future).await {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => return exchange.fail(Reason::Broken, error.to_string()),
-            Err(_) => return exchange.fail(Reason::Deadline, "response timed out".into()),
+            Ok(Err(error)) => return exchange.fail(Cause::TargetBroke, error.to_string()),
+            Err(_) => return exchange.fail(Cause::TargetDeadline, "response timed out".into()),
         };
         let headers = response.headers().clone();
         let status = response.status().as_u16();
         let remaining = timeout.saturating_sub(sent_at.elapsed());
         let body = match tokio::time::timeout(remaining, self.read_body(response)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Reason::Broken, error),
-            Err(_) => return ExchangeResult::MayHaveRun(Reason::Deadline, "body timed out".into()),
+            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Cause::TargetBroke, error),
+            Err(_) => {
+                return ExchangeResult::MayHaveRun(Cause::TargetDeadline, "body timed out".into());
+            }
         };
         match header_adapter.classify_response(&forwarded.request, status, &headers) {
             ResponseVerdict::Mismatched => ExchangeResult::MayHaveRun(
-                Reason::Broken,
+                Cause::MismatchedResponse,
                 format!("mismatched response with status {status}"),
             ),
             ResponseVerdict::NotExecuted(refusal) => {
