retry: exact sliding window of resends

The mesh counts resends in two fixed halves of the window. Its windows and those of the platform end at different times, so that nodes use only 0.7 of the ratio.

Window counts first sends and resends in steps of 250 ms as running totals. A resend is left only if the window that ends now allows it, and each window that contains the current time: its resends are compared with its own first sends, those of the window before and those half a window earlier, as the platform does.

--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -3,14 +3,16 @@
 //! The [`Budget`] limits the retries that one root request may cause in its whole call chain. The
 //! ratio limits the retries that all requests together may add to a pool. [`Policy::decide`]
 //! combines both with the outcome of the failed attempt and the remaining time. See
-//! docs/design/retries.md.
+//! docs/design/retries.md. [`Window`] is the ratio of the mesh, see docs/design/declining-pools.md.
 
 mod budget;
 mod ratio;
+mod window;
 
 pub use {
     budget::{Budget, Quota},
     ratio::Ratio,
+    window::Window,
 };
 
 use {
