resend: reserves for urgent classes, direct requests first

When a pool declines many calls, less urgent chains used up the budget of a calm window within a second, and urgent requests found none afterwards.

A class may use only what the needs of more urgent classes for 5 s leave. If the budget does not cover the expected needs of a window, the first sends of the last 250 ms to 2 s must cover its resends, too, since the budget shrinks as chains fail. Direct requests go before calls of runs of the same class. Budgets use retry::Window, and Ratio loses what only the mesh used.

single_class compares with Window instead of Ratio, whose fixed halves are not used any more.

--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -13,6 +13,7 @@
         mesh::{
             evacuation::NO_TARGET_RETRY_AFTER,
             gate::Rank,
+            resend::Need,
             scarcity::{Class, Path},
             standing::Standing,
             table::Route,
@@ -280,8 +281,13 @@
             true => share,
             false => share.min(1.0 / UNTRACED_CALL_LEVELS),
         };
-        let class = Class::from(call.rank);
-        self.resend_budget(now, &call.pool).try_acquire(now, class, call.hash_fraction, share)
+        let need = Need {
+            class: Class::from(call.rank),
+            is_direct: call.standing.is_some(),
+            hash_fraction: call.hash_fraction,
+            share,
+        };
+        self.resend_budget(now, &call.pool).try_acquire(now, need).is_ok()
     }
 
     /// Returns the final refusal of a request that is not sent again, and refunds its token if it
--- a/lib/src/mesh/node/dump.rs
+++ b/lib/src/mesh/node/dump.rs
@@ -4,7 +4,7 @@
     super::Node,
     crate::{
         balance, id,
-        mesh::{announcement::Pace, position::Position, scarcity::PoolState, standing},
+        mesh::{announcement::Pace, position::Position, resend, scarcity::PoolState, standing},
         time::Instant,
         unit::{RequestRate, Revision},
     },
@@ -51,6 +51,8 @@
     pub pools: BTreeMap<id::Pool, balance::Dump>,
     /// The latest loads of the own pool and of pools under pressure.
     pub loads: BTreeMap<id::Pool, PoolState>,
+    /// The decisions on resends by pool, of the pools in the table.
+    pub resends: BTreeMap<id::Pool, resend::Counts>,
 }
 
 impl Node {
@@ -79,6 +81,11 @@
                 .iter()
                 .map(|(pool, picker)| (pool.clone(), picker.dump(now)))
                 .collect(),
+            resends: self
+                .resend_budgets
+                .iter()
+                .map(|(pool, budget)| (pool.clone(), budget.counts()))
+                .collect(),
         }
     }
 }
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -163,6 +163,7 @@
                         self.rate_limiter.set_table(now, &table);
                         let cold_limit = table.cold().get(&self.settings.pool).copied();
                         self.gate.cold_mut().set_limit(now, cold_limit);
+                        self.resend_budgets.retain(|pool, _| table.pools().contains(pool));
                         self.table = Some(Arc::new(table));
                     }
                     Err(error) => {
--- a/lib/src/retry/ratio.rs
+++ b/lib/src/retry/ratio.rs
@@ -49,36 +49,6 @@
         self.current.first_sends += 1;
     }
 
-    /// Records a retry that was decided elsewhere.
-    pub fn record_retry(&mut self, now: Instant) {
-        self.advance_window(now);
-        self.current.retries += 1;
-    }
-
-    /// Takes one retry if the ratio, scaled by a share between 0 and 1, allows it and leaves
-    /// `reserved` retries for others.
-    ///
-    /// If any are reserved, each half of the window has to allow the retry by itself. Otherwise
-    /// retries that were covered by a calm half would exceed the ratio once that half is forgotten,
-    /// and nothing would be left for the others until the next half.
-    pub fn try_take_share(&mut self, now: Instant, share: f64, reserved: u64) -> bool {
-        self.advance_window(now);
-        let allows = |sends: u64, retries: u64| {
-            let max_scaled_retries = (sends * self.permille) as f64 * share;
-            ((retries + reserved + 1) * PERMILLE) as f64 <= max_scaled_retries
-        };
-        let sends = self.current.first_sends + self.previous.first_sends;
-        let retries = self.current.retries + self.previous.retries;
-        let is_half_allowed =
-            reserved == 0 || allows(self.current.first_sends, self.current.retries);
-        let is_allowed = is_half_allowed && allows(sends, retries);
-        match is_allowed {
-            true => self.current.retries += 1,
-            false => self.withheld += 1,
-        }
-        is_allowed
-    }
-
     /// Takes one retry if the ratio allows it.
     ///
     /// Without overload, a small floor is allowed in addition, so that a call to a pool with little
--- a/lib/tests/mesh_lineage.rs
+++ b/lib/tests/mesh_lineage.rs
@@ -5,7 +5,7 @@
         mesh::{
             gate::Rank,
             lineage::{ActiveRuns, Lineage, hash_fraction},
-            resend::ResendBudget,
+            resend::{Need, ResendBudget},
             scarcity::Class,
         },
         pressure::Share,
@@ -28,6 +28,10 @@
     Instant::from_millis(ms)
 }
 
+fn need(hash_fraction: f64) -> Need {
+    Need { class: CLASS, is_direct: false, hash_fraction, share: 1.0 }
+}
+
 fn lineage() -> Lineage {
     Lineage {
         rank: Rank { account: 3, route: 2, is_first_attempt: true, hash_bucket: 7 },
@@ -88,7 +92,7 @@
             let mut is_served = !random.random_bool(declined);
             while !is_served
                 && sends < SENDS
-                && budget.try_acquire(now, CLASS, fraction_of(request), 1.0)
+                && budget.try_acquire(now, need(fraction_of(request))).is_ok()
             {
                 (sends, resent) = (sends + 1, resent + 1);
                 is_served = !random.random_bool(declined);
@@ -126,6 +130,6 @@
     for _ in 0..100 {
         budget.record_first_send(at(0), true);
     }
-    let acquired = (0..1_000).filter(|_| budget.try_acquire(at(1), CLASS, 0.0, 1.0)).count();
+    let acquired = (0..1_000).filter(|_| budget.try_acquire(at(1), need(0.0)).is_ok()).count();
     assert_eq!(acquired, 40, "140 per 1,000 first sends, less 100 that are repeats already");
 }
--- a/lib/tests/mesh_resend.rs
+++ b/lib/tests/mesh_resend.rs
@@ -3,8 +3,12 @@
 
 use {
     monsoon_lib::{
-        mesh::{lineage::hash_fraction, resend::ResendBudget, scarcity::Class},
-        retry,
+        mesh::{
+            lineage::hash_fraction,
+            resend::{Denied, Need, ResendBudget},
+            scarcity::Class,
+        },
+        retry::Window,
         time::Instant,
     },
     rand::{RngExt as _, SeedableRng as _},
@@ -98,7 +102,8 @@
 }
 
 fn by_class(budget: &mut ResendBudget, now: Instant, class: Class, fraction: f64) -> bool {
-    budget.try_acquire(now, class, fraction, 1.0)
+    let need = Need { class, is_direct: false, hash_fraction: fraction, share: 1.0 };
+    budget.try_acquire(now, need).is_ok()
 }
 
 /// Guards against urgent requests that fail since the budget went to others, also in the seconds
@@ -121,8 +126,7 @@
 #[test]
 fn whole_requests_from_the_rest() {
     let ([_, others], by_second) = play(20, by_class);
-    let ([_, spread], _) =
-        play(20, |budget, now, class, _| budget.try_acquire(now, class, 0.0, 1.0));
+    let ([_, spread], _) = play(20, |budget, now, class, _| by_class(budget, now, class, 0.0));
     assert!(others.served > spread.served * 3 / 2, "{others:?}, without hash fractions {spread:?}");
     // A whole request of 8 calls takes 13 resends on average, including those of the requests that
     // fail after the largest number of sends.
@@ -149,19 +153,13 @@
 /// rule without classes.
 #[test]
 fn single_class() {
-    let settings = retry::Settings {
-        ratio_permille: PERMILLE,
-        window_ms: WINDOW.as_millis() as u64,
-        floor_per_second: 0,
-        ..retry::Settings::default()
-    };
     let mut random = ChaCha8Rng::seed_from_u64(5);
-    let (mut budget, mut ratio) = (budget(), retry::Ratio::new(Instant::ZERO, &settings));
+    let (mut budget, mut window) = (budget(), Window::new(Instant::ZERO, PERMILLE, WINDOW));
     let (mut eligible, mut adjusted_ms, mut is_exhausted) = (1.0_f64, 0, false);
     for ms in 0..40_000 {
         let now = Instant::from_millis(ms);
         budget.record_first_send(now, false);
-        ratio.record_first_send(now);
+        window.record_first_send(now);
         // The need rises and falls, and there is none at times.
         let need = if ms % 9_000 < 2_000 { 0.0 } else { 0.05 + (ms % 7_000) as f64 / 14_000.0 };
         if !random.random_bool(need) {
@@ -176,10 +174,114 @@
         }
         let fraction = random.random();
         let is_allowed = fraction <= eligible && {
-            let is_taken = ratio.try_take_share(now, 1.0, 0);
+            let is_taken = window.left(now) >= 1.0;
+            if is_taken {
+                window.record_resend(now);
+            }
             is_exhausted |= !is_taken;
             is_taken
         };
-        assert_eq!(budget.try_acquire(now, OTHER, fraction, 1.0), is_allowed, "{ms} ms");
+        assert_eq!(by_class(&mut budget, now, OTHER, fraction), is_allowed, "{ms} ms");
+    }
+}
+
+/// The requests at one of 57 nodes in a burst, by class, whether they are direct, rate per second,
+/// chains side by side and calls of a chain. From all nodes, 13,000 calls per second reach the pool.
+const KINDS: [(Class, bool, f64, u32, u32); 3] =
+    [(URGENT, false, 9.7, 1, 4), (OTHER, true, 2.5, 1, 1), (OTHER, false, 24.5, 2, 4)];
+
+fn by_need(budget: &mut ResendBudget, now: Instant, need: Need) -> bool {
+    budget.try_acquire(now, need).is_ok()
+}
+
+/// Plays a decline of 8.5 s at some nodes, with 10 sends and a budget of 0.9 of 0.2. Returns what
+/// became of the requests of each kind, and the resends that were denied.
+fn play_nodes(
+    declined: f64,
+    resend: fn(&mut ResendBudget, Instant, Need) -> bool,
+) -> ([Tally; 3], u64) {
+    let (mut tallies, mut denied) = ([Tally::default(); 3], 0);
+    for seed in 0..20 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut budget = ResendBudget::new(Instant::ZERO, 180, WINDOW);
+        for ms in 0..33_500 {
+            let (now, is_declining) = (Instant::from_millis(ms), ms >= 25_000);
+            for (kind, tally) in KINDS.into_iter().zip(&mut tallies) {
+                let (class, is_direct, rate, chains, calls) = kind;
+                if !random.random_bool(rate / 1_000.0) {
+                    continue;
+                }
+                let need = Need { class, is_direct, hash_fraction: random.random(), share: 1.0 };
+                let mut is_accepted = |_| {
+                    budget.record_first_send(now, false);
+                    (0..10).any(|sends| {
+                        let is_sent = sends == 0 || resend(&mut budget, now, need);
+                        tally.resends += u32::from(is_sent && sends > 0);
+                        is_sent && !(is_declining && random.random_bool(declined))
+                    })
+                };
+                let served = (0..chains).filter(|_| (0..calls).all(&mut is_accepted)).count();
+                tally.requests += u32::from(is_declining);
+                tally.served += u32::from(is_declining && served == chains as usize);
+            }
+        }
+        denied += Denied::ALL.iter().map(|cause| budget.counts().denied(*cause)).sum::<u64>();
+    }
+    (tallies, denied)
+}
+
+/// Guards against urgent requests that fail while others are resent, although they alone need more
+/// than the whole budget.
+#[test]
+fn declining_pool() {
+    let ([urgent, direct, calls], _) = play_nodes(DECLINED, by_need);
+    let ([equal, ..], _) = play_nodes(DECLINED, |budget, now, need| {
+        by_need(budget, now, Need { class: OTHER, is_direct: false, ..need })
+    });
+    let others = direct.resends + calls.resends;
+    assert!(urgent.resends > others * 9, "{urgent:?}, {direct:?}, {calls:?}");
+    assert!(urgent.served > equal.served * 2, "{urgent:?}, as one class {equal:?}");
+}
+
+/// Guards against direct requests that fail while chains of the same class are resent.
+#[test]
+fn direct_requests_first() {
+    let ([_, direct, _], _) = play_nodes(DECLINED, |budget, now, need| {
+        need.class != URGENT && by_need(budget, now, need)
+    });
+    let ([_, equal, _], _) = play_nodes(DECLINED, |budget, now, need| {
+        need.class != URGENT && by_need(budget, now, Need { is_direct: false, ..need })
+    });
+    assert!(direct.served_fraction() > 0.8, "{direct:?}");
+    assert!(direct.served * 10 > equal.served * 13, "{direct:?}, as calls {equal:?}");
+}
+
+/// Guards against resends that are denied although the budget is sufficient for all. One target of
+/// 15 declines 39 % of its calls.
+#[test]
+fn light_declines() {
+    let (tallies, denied) = play_nodes(0.39 / 15.0, by_need);
+    assert_eq!(denied, 0, "{tallies:?}");
+    assert!(tallies.iter().all(|tally| tally.served == tally.requests), "{tallies:?}");
+}
+
+/// Guards against requests that are not resent when a decline has ended, since fewer were eligible
+/// while the rest of the budget was reserved.
+#[test]
+fn end_of_decline() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut budget = ResendBudget::new(Instant::ZERO, 180, WINDOW);
+    for ms in 0..30_000 {
+        let now = Instant::from_millis(ms);
+        budget.record_first_send(now, false);
+        let (is_declining, is_over) = ((10_000..18_500).contains(&ms), ms >= 19_500);
+        if is_declining && ms % 16 == 0 {
+            assert!(by_class(&mut budget, now, URGENT, random.random()), "urgent at {ms} ms");
+        }
+        if is_declining && ms % 2 == 0 || is_over && ms % 100 == 0 {
+            let is_resent = by_class(&mut budget, now, OTHER, random.random());
+            assert!(is_resent || is_declining, "{ms} ms");
+        }
     }
+    assert!(budget.counts().denied(Denied::Reserved) > 0, "nothing was reserved");
 }
--- a/lib/tests/mesh_scarcity.rs
+++ b/lib/tests/mesh_scarcity.rs
@@ -5,7 +5,7 @@
         id,
         mesh::{
             demand::{Arrival, Limits, Meter, Origin},
-            resend::ResendBudget,
+            resend::{Need, ResendBudget},
             scarcity::{Class, ClassDemand, Load, Path, PoolLoad, Scarce, Tracker},
         },
         pressure::Share,
@@ -238,7 +238,9 @@
             let is_declined = ms >= play.decline_ms && random.random_bool(play.declined);
             if is_free && is_declined {
                 target.meter.record_decline(now);
-                match budget.try_acquire(now, request.class, request.hash, 1.0) {
+                let Request { class, hash: hash_fraction, .. } = *request;
+                let need = Need { class, is_direct: false, hash_fraction, share: 1.0 };
+                match budget.try_acquire(now, need).is_ok() {
                     true => calls.push(Call { is_resend: true, ..call }),
                     false => {
                         request.fail(&mut slices[slice]);
