metrics: resends to a pool, and those denied by cause

Operators could not see that resends are short. monsoon_resends_total{pool} counts those allowed, monsoon_resends_denied_total{pool,cause} those denied because the budget ran out (budget), the rest is kept for more urgent classes (reserved) or the hash fraction is not eligible (fraction). Budgets of pools that are not in the tables any more are dropped, which bounds the series.

--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -7,18 +7,61 @@
         scarcity,
     },
     crate::clock,
-    monsoon_lib::{call::Refusal, id, mesh::standing},
+    monsoon_lib::{
+        call::Refusal,
+        id,
+        mesh::{
+            resend::{Counts, Denied},
+            standing,
+        },
+    },
     prometheus::{
         Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder,
     },
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// The bucket bounds of the latency histogram, in seconds: from one network hop to the longest
 /// deadline.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
 
+/// The decisions on resends by pool.
+struct Resends {
+    allowed: IntCounterVec,
+    denied: IntCounterVec,
+}
+
+impl Resends {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let allowed = counter("monsoon_resends_total", "Resends to a pool.", &["pool"])?;
+        let denied = counter(
+            "monsoon_resends_denied_total",
+            "Requests to a pool that were not resent, by the reason.",
+            &["pool", "cause"],
+        )?;
+        Ok(Self { allowed, denied })
+    }
+
+    /// Replaces the values. Pools that are not in the tables any more have none.
+    fn set(&self, pools: &BTreeMap<id::Pool, Counts>) {
+        self.allowed.reset();
+        self.denied.reset();
+        for (pool, counts) in pools {
+            self.allowed.with_label_values(&[pool.as_str()]).inc_by(counts.allowed);
+            for cause in Denied::ALL {
+                let labels = [pool.as_str(), cause.as_str()];
+                self.denied.with_label_values(&labels).inc_by(counts.denied(cause));
+            }
+        }
+    }
+}
+
 /// The metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -36,6 +79,7 @@
     target_limit: Gauge,
     entry_refused: IntCounterVec,
     pool_loads: scarcity::Gauges,
+    resends: Resends,
     target_pace: IntGauge,
     concurrency_limit: IntGauge,
     target_cold: IntGauge,
@@ -116,6 +160,7 @@
         let entry_refused = IntCounterVec::new(entry_refused, &["pool"])?;
         registry.register(Box::new(entry_refused.clone()))?;
         let pool_loads = scarcity::Gauges::new(&registry)?;
+        let resends = Resends::new(&registry)?;
         Ok(Self {
             registry,
             answered,
@@ -132,6 +177,7 @@
             target_limit,
             entry_refused,
             pool_loads,
+            resends,
             target_pace,
             concurrency_limit,
             target_cold,
@@ -178,6 +224,7 @@
         metrics.store_revision.set(dump.store.revision.0 as i64);
         metrics.target_limit.set(dump.target_limit.unwrap_or(-1.0));
         metrics.pool_loads.set(&dump.loads);
+        metrics.resends.set(&dump.resends);
         metrics.target_pace.set(dump.target_pace.map_or(-1, i64::from));
         metrics.concurrency_limit.set(dump.concurrency_limit as i64);
         metrics.target_cold.set(i64::from(dump.is_target_cold));
