replication: tell followers that the bounds on cold targets are unknown

A node that has the configuration from a node of an earlier version passed it on without bounds on cold targets, in the same form as a configuration that has none. Its followers took it for complete, did not read the store, and let any number of calls start on cold targets.

The bounds of a document are now `None` while they are not known, and `Supplement::Facts` ends with `has_cold_limits`. A node that receives a document without known bounds reads the store, and passes on that it does not know them until it has. A supplement that ends before the field is still read: bounds in it count, none in it means that they are unknown.

The last step of the new test `unknown_cold_limits` failed ("so has its follower") with the field fixed to true, which is what the earlier layout meant, and passes now.

--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -7,7 +7,7 @@
         pressure::Share,
         unit::Revision,
     },
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
 };
 
 /// Data that follows a message and its extension. Versions that do not know it ignore it, and act as
@@ -36,9 +36,20 @@
         /// All evacuations of data centres that are in force, or `None` if the sender does not know
         /// them because it follows a node of an earlier version.
         evacuations: Option<Vec<EvacuationFact>>,
+        /// Whether `cold_limits` are all bounds of the document. If not, the sender has the document
+        /// from a node of an earlier version, and the receiver has to read the platform. Versions
+        /// without this field don't tell; bounds that they send are all there are.
+        #[serde(deserialize_with = "deserialize_trailing")]
+        has_cold_limits: bool,
     },
 }
 
+/// Decodes a field that was added at the end of a supplement. It is false if the supplement ends
+/// before it, since postcard does not tell how many fields follow.
+fn deserialize_trailing<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(deserializer).unwrap_or(false))
+}
+
 /// How much longer a target is cold.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ColdTarget {
@@ -110,16 +121,35 @@
     use {
         super::{
             super::{Attachments, PeerRequest, encode, encode_with, read},
-            Supplement,
+            ColdTarget, EvacuationFact, Supplement,
         },
         bytes::{Bytes, BytesMut},
         monsoon_lib::{
-            mesh::{gate::Rank, node::ForwardedRequest},
+            id,
+            mesh::{cold, gate::Rank, node::ForwardedRequest, scarcity::PoolLoad},
             pressure::Share,
         },
+        serde::{Deserialize, Serialize},
         std::time::Duration,
     };
 
+    /// The layout before `has_cold_limits` was added.
+    #[derive(Debug, Deserialize, PartialEq, Serialize)]
+    enum EarlierSupplement {
+        Run {
+            admitted: Share,
+            is_resend: bool,
+        },
+        RunFinished {
+            loads: Vec<PoolLoad>,
+        },
+        Facts {
+            cold_limits: Vec<(id::Pool, cold::Limit)>,
+            cold_targets: Vec<ColdTarget>,
+            evacuations: Option<Vec<EvacuationFact>>,
+        },
+    }
+
     async fn decode(head: Bytes) -> super::super::Received<PeerRequest> {
         let mut from = head.as_ref();
         read(&mut from, &mut BytesMut::new()).await.expect("the frame is valid")
@@ -173,6 +203,36 @@
         assert_eq!(forwarded.admitted, Share(51));
     }
 
+    /// Guards against losing evacuations and cold times between this version and the one whose
+    /// supplement ends before `has_cold_limits`, in either direction.
+    #[test]
+    fn field_at_end() {
+        let limit =
+            cold::Limit { duration: Duration::from_secs(8), rate: "11/s".parse().expect("a rate") };
+        let cold_limits = vec![("desk".parse().expect("a name"), limit)];
+        let target = "t1".parse().expect("a name");
+        let cold_targets = vec![ColdTarget { target, remaining_ms: 300 }];
+        for evacuations in [None, Some(Vec::new())] {
+            let facts = |has_cold_limits| Supplement::Facts {
+                cold_limits: cold_limits.clone(),
+                cold_targets: cold_targets.clone(),
+                evacuations: evacuations.clone(),
+                has_cold_limits,
+            };
+            let earlier = EarlierSupplement::Facts {
+                cold_limits: cold_limits.clone(),
+                cold_targets: cold_targets.clone(),
+                evacuations: evacuations.clone(),
+            };
+            let new_bytes = postcard::to_stdvec(&facts(true)).expect("it is small");
+            assert_eq!(Supplement::decode(&new_bytes), Some(facts(true)));
+            let read: EarlierSupplement = postcard::from_bytes(&new_bytes).expect("it is readable");
+            assert_eq!(read, earlier);
+            let earlier_bytes = postcard::to_stdvec(&earlier).expect("it is small");
+            assert_eq!(Supplement::decode(&earlier_bytes), Some(facts(false)));
+        }
+    }
+
     /// A supplement of a later version does not make the message unreadable.
     #[test]
     fn later_version() {
--- a/daemon/src/mesh/replication.rs
+++ b/daemon/src/mesh/replication.rs
@@ -88,22 +88,35 @@
     let evacuations = || update.facts.iter().filter_map(encode_evacuation).collect();
     Supplement::Facts {
         cold_limits: document.map_or_else(Vec::new, |document| {
-            document.cold.iter().map(|(pool, limit)| (pool.clone(), *limit)).collect()
+            let limits = document.cold.iter().flatten();
+            limits.map(|(pool, limit)| (pool.clone(), *limit)).collect()
         }),
         cold_targets: values().filter_map(cold_target).collect(),
         evacuations: update.has_evacuations.then(evacuations),
+        has_cold_limits: !lacks_cold_limits(update),
     }
 }
 
+/// Returns whether an update has the operator's document without its bounds on cold targets. These
+/// are then not known until the platform was read.
+pub fn lacks_cold_limits(update: &Update) -> bool {
+    let lacks = |fact: &Fact| matches!(&fact.value, Value::Document(d) if d.cold.is_none());
+    update.facts.iter().any(lacks)
+}
+
 /// Completes the facts of an update with its supplement.
 fn complete(facts: &mut [Fact], supplement: Option<&Supplement>) {
-    let Some(Supplement::Facts { cold_limits, cold_targets, .. }) = supplement else { return };
+    let Some(Supplement::Facts { cold_limits, cold_targets, has_cold_limits, .. }) = supplement
+    else {
+        return;
+    };
     let limits: BTreeMap<id::Pool, cold::Limit> = cold_limits.iter().cloned().collect();
+    let limits = (*has_cold_limits || !limits.is_empty()).then_some(limits);
     let remaining: BTreeMap<&id::Vm, u64> =
         cold_targets.iter().map(|cold| (&cold.target, cold.remaining_ms)).collect();
     for fact in facts {
         match &mut fact.value {
-            Value::Document(document) => Arc::make_mut(document).cold = limits.clone(),
+            Value::Document(document) => Arc::make_mut(document).cold.clone_from(&limits),
             Value::Target(target) => {
                 let remaining_ms = remaining.get(&target.name).copied().unwrap_or(0);
                 target.cold_remaining = Duration::from_millis(remaining_ms);
@@ -177,14 +190,19 @@
 #[cfg(test)]
 mod tests {
     use {
-        super::{decode, encode},
+        super::{decode, encode, lacks_cold_limits},
         monsoon_lib::{
+            id,
             mesh::{
-                fact::{Fact, Heartbeat, Key, Update, Value},
+                cold,
+                fact::{Fact, FactStore, Heartbeat, Key, Update, Value},
                 position::{Era, Position},
+                table::{Bounds, Document},
             },
-            unit::Revision,
+            time::Instant,
+            unit::{Bytes, Revision},
         },
+        std::{collections::BTreeMap, sync::Arc, time::Duration},
     };
 
     fn fact(key: Key, revision: u64, value: Value) -> Fact {
@@ -215,4 +233,58 @@
         let earlier = decode(facts, position, Some(&extension), None);
         assert_eq!(earlier, Update { facts: vec![target], has_evacuations: false, ..update });
     }
+
+    fn document(cold: Option<BTreeMap<id::Pool, cold::Limit>>) -> Fact {
+        let bounds = Bounds {
+            head: Bytes(1),
+            body: Bytes(1),
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        };
+        let document = Document {
+            revision: Revision(3),
+            routes: Vec::new(),
+            accounts: Vec::new(),
+            health: BTreeMap::new(),
+            bounds,
+            cold,
+        };
+        fact(Key::Document, 5, Value::Document(Arc::new(document)))
+    }
+
+    /// Passes the facts of a node on to a peer and returns the update that the peer receives.
+    fn pass_on(facts: &FactStore, has_supplement: bool) -> Update {
+        let update = facts.update_after(Position::default(), Revision(0));
+        let position = update.position.revision;
+        let (facts, extension, supplement) = encode(update, None);
+        // Earlier versions encode the document in the same way.
+        let bytes = postcard::to_stdvec(&facts).expect("it is small");
+        let facts = postcard::from_bytes(&bytes).expect("it is complete");
+        decode(facts, position, Some(&extension), has_supplement.then_some(&supplement))
+    }
+
+    /// Guards against followers that take the document of a node which follows one of an earlier
+    /// version for one without bounds, and let any number of calls start on cold targets.
+    #[test]
+    fn unknown_cold_limits() {
+        let limit =
+            cold::Limit { duration: Duration::from_secs(8), rate: "11/s".parse().expect("a rate") };
+        let pool: id::Pool = "desk".parse().expect("a name");
+        for known in [BTreeMap::new(), BTreeMap::from([(pool, limit)])] {
+            let [mut earlier, mut node, mut follower] = [(); 3].map(|()| FactStore::default());
+            earlier.insert(Instant::ZERO, &document(None));
+            let from_earlier = pass_on(&earlier, false);
+            assert!(lacks_cold_limits(&from_earlier), "the node has to read the platform");
+            node.insert(Instant::ZERO, &from_earlier.facts[0]);
+            let update = pass_on(&node, true);
+            assert!(lacks_cold_limits(&update), "so has its follower");
+            follower.insert(Instant::ZERO, &update.facts[0]);
+            // What either reads completes the document of the same revision.
+            assert!(follower.insert(Instant::ZERO, &document(Some(known.clone()))));
+            assert!(!follower.insert(Instant::ZERO, &update.facts[0]));
+            let update = pass_on(&follower, true);
+            assert!(!lacks_cold_limits(&update));
+            assert_eq!(update.facts, [document(Some(known))]);
+        }
+    }
 }
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     monsoon_lib::{
         mesh::{
-            fact::{Key, Value},
+            fact::Value,
             node::{Changes, Source},
             position::Position,
             read_schedule::{ReadSchedule, Role},
@@ -399,8 +399,8 @@
         let is_recheck = self.node.borrow().peers().stale_sources(now).contains(&host);
         let (extension, supplement) = (response.extension.as_ref(), response.supplement.as_ref());
         let update = replication::decode(facts, position, extension, supplement);
-        if supplement.is_none() && update.facts.iter().any(|fact| fact.key == Key::Document) {
-            // A peer of an earlier version does not know the bounds on cold targets.
+        if replication::lacks_cold_limits(&update) {
+            // The peer, or one that it follows, is of an earlier version, which does not know them.
             self.is_read_due.set(true);
         }
         let changes = {
--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -121,8 +121,9 @@
             }
             (Value::Removed, Value::Document(_)) => false,
             // A node of an earlier version passed the document on without its bounds.
+            (Value::Document(new), Value::Document(old)) if old.completes(new) => false,
             (Value::Document(new), Value::Document(old)) if self.position == other.position => {
-                old.cold.is_empty() && !new.cold.is_empty()
+                new.completes(old)
             }
             // Two nodes may have read the same entry, and one of them knows that the target left.
             _ if self.position == other.position => other.is_in_use() && !self.is_in_use(),
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -150,7 +150,7 @@
         match (&fact.key, &fact.value) {
             (Key::Document, Value::Document(document)) => {
                 let is_newer = self.table.as_ref().is_none_or(|table| {
-                    let lacks_bounds = table.cold().is_empty() && !document.cold.is_empty();
+                    let lacks_bounds = !table.has_cold_limits() && document.cold.is_some();
                     table.revision() < document.revision
                         || (table.revision() == document.revision && lacks_bounds)
                 });
@@ -161,7 +161,7 @@
                     Ok(table) => {
                         changes.table = Some(table.revision());
                         self.rate_limiter.set_table(now, &table);
-                        let cold_limit = table.cold().get(&self.settings.pool).copied();
+                        let cold_limit = table.cold_limit(&self.settings.pool);
                         self.gate.cold_mut().set_limit(now, cold_limit);
                         self.table = Some(Arc::new(table));
                     }
@@ -222,9 +222,8 @@
     /// Returns whether a target is cold and in a pool with a bound on cold targets.
     pub(super) fn is_cold(&self, now: Instant, name: &id::Vm) -> bool {
         let Some(target) = self.fleet.get(name) else { return false };
-        let is_bound =
-            self.table.as_ref().is_some_and(|table| table.cold().contains_key(&target.pool));
-        is_bound && self.cold_targets.get(name).is_some_and(|until| now < *until)
+        let limit = self.table.as_ref().and_then(|table| table.cold_limit(&target.pool));
+        limit.is_some() && self.cold_targets.get(name).is_some_and(|until| now < *until)
     }
 
     /// Updates all state that is derived from the table and the targets.
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -150,10 +150,19 @@
     pub health: BTreeMap<id::Pool, String>,
     /// The limits on requests and connections.
     pub bounds: Bounds,
-    /// The bounds on cold targets, by pool. Nodes exchange them beside the document, because earlier
-    /// versions do not know them.
+    /// The bounds on cold targets, by pool, or `None` if they are not known because the document came
+    /// from a node of an earlier version. Nodes exchange them beside the document, which those
+    /// versions read without them.
     #[serde(skip)]
-    pub cold: BTreeMap<id::Pool, cold::Limit>,
+    pub cold: Option<BTreeMap<id::Pool, cold::Limit>>,
+}
+
+impl Document {
+    /// Returns whether this document has the bounds on cold targets that another one of the same
+    /// revision lacks.
+    pub(super) fn completes(&self, other: &Self) -> bool {
+        self.revision == other.revision && self.cold.is_some() && other.cold.is_none()
+    }
 }
 
 /// A validated document, indexed for lookups.
@@ -166,7 +175,7 @@
     pools: BTreeSet<id::Pool>,
     health: BTreeMap<id::Pool, String>,
     bounds: Bounds,
-    cold: BTreeMap<id::Pool, cold::Limit>,
+    cold: Option<BTreeMap<id::Pool, cold::Limit>>,
 }
 
 impl Table {
@@ -242,9 +251,14 @@
         self.health.get(pool).map(String::as_str)
     }
 
-    /// Returns the bounds on cold targets, by pool.
-    pub fn cold(&self) -> &BTreeMap<id::Pool, cold::Limit> {
-        &self.cold
+    /// Returns whether the bounds on cold targets are known.
+    pub fn has_cold_limits(&self) -> bool {
+        self.cold.is_some()
+    }
+
+    /// Returns the bound on the cold targets of a pool, if it has one that is known.
+    pub fn cold_limit(&self, pool: &id::Pool) -> Option<cold::Limit> {
+        self.cold.as_ref()?.get(pool).copied()
     }
 
     /// Returns the pools of all routes.
--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -82,7 +82,7 @@
         idle_timeout: Duration::from_secs(15),
     };
     let document = Document {
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
         revision: Revision(1),
         routes: vec![route],
         accounts: Vec::new(),
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -81,10 +81,10 @@
 #[test]
 fn document_without_bounds() {
     let mut facts = FactStore::default();
-    let without = document(Vec::new(), Vec::new());
+    let without = Document { cold: None, ..document(Vec::new(), Vec::new()) };
     let limit = Limit { duration: Duration::from_secs(8), rate: "11/s".parse().expect("a rate") };
     let cold = BTreeMap::from([("desk".parse().expect("a name"), limit)]);
-    let complete = Document { cold, ..without.clone() };
+    let complete = Document { cold: Some(cold), ..without.clone() };
     for (document, is_new) in [(&without, true), (&complete, true), (&without, false)] {
         let value = Value::Document(Arc::new(document.clone()));
         let (position, heartbeat) = (in_first_era(3), Heartbeat::default());
@@ -223,7 +223,7 @@
         accounts,
         health: BTreeMap::new(),
         bounds,
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
     }
 }
 
--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -44,7 +44,7 @@
         accounts: vec![account],
         health: BTreeMap::new(),
         bounds,
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
     };
     Table::new(document).expect("a valid table")
 }
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -58,7 +58,7 @@
         idle_timeout: ms(15_000),
     };
     Document {
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
         revision: Revision(1),
         routes: vec![route],
         accounts,
--- a/lib/tests/quota_restart.rs
+++ b/lib/tests/quota_restart.rs
@@ -42,7 +42,7 @@
         accounts: vec![account],
         health: BTreeMap::new(),
         bounds,
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
     })
     .expect("a valid table")
 }
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -59,7 +59,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
     }
 }
 
--- a/lib/tests/store_eras.rs
+++ b/lib/tests/store_eras.rs
@@ -54,7 +54,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
-        cold: BTreeMap::new(),
+        cold: Some(BTreeMap::new()),
     })
 }
 
