node: the longest caller timeout counts for 30 s

A node estimates the time that a caller has spent from the longest timeout seen on the route. That never shrank, so one caller with a long timeout made all others on the route look late until the node was restarted.

Timeouts now count for 30 s after they were last seen, to the second (30 to 31 s); after that, the longest of the last 30 s applies. At most 31 are kept for a route, and routes without requests for that long are dropped.

--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -340,6 +340,7 @@
         self.facts.tick(now);
         self.crash_tracker.tick(now);
         self.peers.tick(now);
+        self.longest_timeouts.tick(now);
         for pool in self.paced_pools.take_expired(now) {
             self.use_reported_latency(&pool, false);
         }
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -18,7 +18,7 @@
         time::Instant,
     },
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         hash::{Hash as _, Hasher as _},
         time::Duration,
     },
@@ -31,19 +31,59 @@
 /// bucket, run in the order of their latency objectives.
 const HASH_BUCKETS: u8 = 16;
 
-/// The longest caller timeout seen on each route. A caller that retries after a refusal has less
-/// time left.
+/// How long a caller timeout counts after it was last seen. Callers' timeouts are at most 15 s, so
+/// the first attempt of a caller that retries counts until its last one.
+const TIMEOUT_RETENTION: Duration = Duration::from_secs(30);
+/// The resolution of that time. It bounds the number of timeouts that are kept for a route.
+const TIMEOUT_STEP: Duration = Duration::from_secs(1);
+
+/// The longest caller timeout seen lately on each route. A caller that retries after a refusal has
+/// less time left.
 #[derive(Debug, Default)]
 pub struct LongestTimeouts {
-    longest: HashMap<id::Route, Duration>,
+    /// Timeouts by route, with the steps in which they were last seen. Later ones are shorter, and
+    /// each step has at most one.
+    longest: HashMap<id::Route, VecDeque<(u64, Duration)>>,
 }
 
 impl LongestTimeouts {
     /// Returns the time that the caller has spent on earlier attempts.
-    fn spent(&mut self, route: &id::Route, caller_timeout: Duration) -> Duration {
-        let longest = self.longest.entry(route.clone()).or_default();
-        *longest = caller_timeout.max(*longest);
-        *longest - caller_timeout
+    fn spent(&mut self, now: Instant, route: &id::Route, caller_timeout: Duration) -> Duration {
+        let step = timeout_step(now);
+        if !self.longest.contains_key(route) {
+            self.longest.insert(route.clone(), VecDeque::new());
+        }
+        let Some(timeouts) = self.longest.get_mut(route) else { return Duration::ZERO };
+        while timeouts.back().is_some_and(|(_, timeout)| *timeout <= caller_timeout) {
+            timeouts.pop_back();
+        }
+        if timeouts.back().is_none_or(|(last, _)| *last < step) {
+            timeouts.push_back((step, caller_timeout));
+        }
+        drop_outdated(timeouts, step);
+        timeouts
+            .front()
+            .map_or(Duration::ZERO, |(_, longest)| longest.saturating_sub(caller_timeout))
+    }
+
+    /// Drops outdated timeouts, also of routes that are not in use any more.
+    pub fn tick(&mut self, now: Instant) {
+        let step = timeout_step(now);
+        self.longest.retain(|_, timeouts| {
+            drop_outdated(timeouts, step);
+            !timeouts.is_empty()
+        });
+    }
+}
+
+fn timeout_step(now: Instant) -> u64 {
+    now.as_nanos() / TIMEOUT_STEP.as_nanos() as u64
+}
+
+fn drop_outdated(timeouts: &mut VecDeque<(u64, Duration)>, step: u64) {
+    let retained_steps = TIMEOUT_RETENTION.as_secs() / TIMEOUT_STEP.as_secs();
+    while timeouts.front().is_some_and(|(last, _)| last + retained_steps < step) {
+        timeouts.pop_front();
     }
 }
 
@@ -74,7 +114,7 @@
         let fingerprint = fingerprint(account.map(|account| &account.name), head.content_hash);
         self.crash_tracker.check(fingerprint)?;
         let caller_timeout = head.caller_timeout.unwrap_or(route.timeout);
-        let spent = self.longest_timeouts.spent(&route.name, caller_timeout);
+        let spent = self.longest_timeouts.spent(now, &route.name, caller_timeout);
         let pool = self.pool_selectors.entry(route.name.clone()).or_default().next(&route.pools);
         let pool = pool.ok_or(Refusal::not_run(Reason::NoRoute))?;
         let kind = standing::Kind::of(spent, route.objective);
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -265,3 +265,32 @@
     assert_eq!(retry_after(ms(1_000), 1.0), ms(600));
     assert_eq!(retry_after(ms(60_000), 0.0), ms(1_500));
 }
+
+/// Returns whether a caller with this timeout is taken to return after a delay.
+fn has_returned(node: &mut Node, now: Instant, caller_timeout: Duration) -> bool {
+    let head = Head {
+        request: "client-1".into(),
+        host: "pages.example".into(),
+        path: "/view/x".into(),
+        key: None,
+        caller_timeout: Some(caller_timeout),
+        content_hash: 0,
+    };
+    !node.admit(now, &head).expect("the request is admitted").rank.is_first_attempt
+}
+
+/// Guards against one caller with a long timeout that makes all others on the route look late for as
+/// long as the node runs.
+#[test]
+fn long_timeout_forgotten() {
+    let mut node = node();
+    let usual = TIMEOUT - ms(1_000);
+    assert!(!has_returned(&mut node, NOW, TIMEOUT));
+    assert!(has_returned(&mut node, NOW + ms(10_000), usual), "the usual timeout is shorter");
+    assert!(!has_returned(&mut node, NOW + ms(20_000), TIMEOUT), "the long one is seen again");
+    assert!(has_returned(&mut node, NOW + ms(25_000), TIMEOUT - ms(500)));
+    assert!(has_returned(&mut node, NOW + ms(50_000), usual), "30 s after it was last seen");
+    let before = NOW + ms(53_000);
+    assert!(has_returned(&mut node, before, usual), "the longest of the last 30 s applies");
+    assert!(!has_returned(&mut node, NOW + ms(57_000), usual), "none was longer for 30 s");
+}
