cold: stated remaining times count for at most twice the cold time

`X-Cold-Ms` and `cold_remaining_ms` were believed without limit, so a target that stated one in another unit was kept at the rate of a cold one for hours.

They now count for at most twice `cold_start_s` from their receipt, also if they came before the configuration, at the guard beside the target and where other nodes pick targets. The node beside the target logs it, once for each instance of the target.

--- a/daemon/src/mesh/cold.rs
+++ b/daemon/src/mesh/cold.rs
@@ -100,9 +100,17 @@
 
     fn log_cold_target(&self, now: Instant) {
         let mut node = self.node.borrow_mut();
-        let change = node.gate().cold_mut().take_change(now);
+        let guard = node.gate().cold_mut();
+        let (change, excess) = (guard.take_change(now), guard.take_excess());
         let target = node.own_target();
         let target = target.as_ref().map(id::Vm::as_str);
+        if let Some(remaining) = excess {
+            let remaining_ms = remaining.as_millis() as u64;
+            log::warn!(
+                target, remaining_ms;
+                "own target states a longer cold time than is configured; it counts in part"
+            );
+        }
         match change {
             Some(Change::Began { witness, remaining }) => {
                 let remaining_ms = remaining.map(|remaining| remaining.as_millis() as u64);
--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -32,6 +32,9 @@
 /// The time without a new entry after which the target itself is asked. Targets renew their entries
 /// about every two seconds, so the node or the target is cut off from the store.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A stated remaining time counts for at most the configured cold time, times this number. A target
+/// may state one in another unit by mistake.
+const MAX_STATED_COLD_TIMES: u32 = 2;
 /// The end of a cold time that is not known yet.
 const UNKNOWN_END: Instant = Instant::from_nanos(u64::MAX);
 /// Keeps rounding from delaying a start by another wait.
@@ -46,6 +49,13 @@
     pub rate: RequestRate,
 }
 
+impl Limit {
+    /// Returns the longest remaining time that a target may state.
+    pub fn max_remaining(&self) -> Duration {
+        self.duration.saturating_mul(MAX_STATED_COLD_TIMES)
+    }
+}
+
 /// By what a target is known to be cold.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Witness {
@@ -90,6 +100,35 @@
 struct Claim {
     made_at: Instant,
     until: Instant,
+    /// The remaining time that the target stated, and when that was received.
+    stated: Option<(Instant, Duration)>,
+}
+
+impl Claim {
+    fn new(made_at: Instant, until: Instant) -> Self {
+        Self { made_at, until, stated: None }
+    }
+
+    fn stated(made_at: Instant, now: Instant, remaining: Duration) -> Self {
+        Self { made_at, until: now + remaining, stated: Some((now, remaining)) }
+    }
+
+    /// Shortens a remaining time that exceeds what the bound allows, and returns it if it does.
+    fn restrict(&mut self, limit: Limit) -> Option<Duration> {
+        let (at, remaining) = self.stated?;
+        self.until = at + remaining.min(limit.max_remaining());
+        (remaining > limit.max_remaining()).then_some(remaining)
+    }
+}
+
+/// Whether the target stated a longer remaining time than counts.
+#[derive(Clone, Copy, Debug, Default)]
+enum Excess {
+    #[default]
+    None,
+    /// It did, and the log does not tell yet.
+    Unreported(Duration),
+    Reported,
 }
 
 /// A token bucket whose rate may change.
@@ -145,6 +184,7 @@
     is_check_requested: bool,
     was_cold: bool,
     held_back: u64,
+    excess: Excess,
 }
 
 impl Guard {
@@ -160,8 +200,7 @@
         if is_first {
             self.heard_at = self.heard_at.max(now);
             if !self.has_witness {
-                self.claims
-                    .insert(Witness::Start, Claim { made_at: now, until: now + limit.duration });
+                self.claims.insert(Witness::Start, Claim::new(now, now + limit.duration));
             }
         }
         self.update(now);
@@ -184,7 +223,7 @@
         if is_taken {
             self.entry = Some((heartbeat, remaining));
             self.heard_at = now;
-            self.claims.insert(Witness::Entry, Claim { made_at: now, until: now + remaining });
+            self.claims.insert(Witness::Entry, Claim::stated(now, now, remaining));
         }
         self.update(now);
     }
@@ -193,7 +232,7 @@
     /// before that.
     pub fn record_health(&mut self, asked_at: Instant, now: Instant, remaining: Duration) {
         self.claims.retain(|_, claim| claim.made_at > asked_at);
-        self.claims.insert(Witness::Health, Claim { made_at: asked_at, until: now + remaining });
+        self.claims.insert(Witness::Health, Claim::stated(asked_at, now, remaining));
         self.has_witness = true;
         self.heard_at = now;
         self.is_check_requested = false;
@@ -203,7 +242,7 @@
     /// Records that the target crashed or does not accept connections.
     pub fn record_down(&mut self, now: Instant) {
         if self.limit.is_some() {
-            self.claims.insert(Witness::Observation, Claim { made_at: now, until: UNKNOWN_END });
+            self.claims.insert(Witness::Observation, Claim::new(now, UNKNOWN_END));
             self.update(now);
         }
     }
@@ -211,7 +250,7 @@
     /// Records that the target accepts connections again.
     pub fn record_up(&mut self, now: Instant) {
         let Some(limit) = self.limit.filter(|_| self.is_down()) else { return };
-        let claim = Claim { made_at: now, until: now + limit.duration };
+        let claim = Claim::new(now, now + limit.duration);
         self.claims.insert(Witness::Observation, claim);
         self.update(now);
     }
@@ -322,8 +361,28 @@
         }
     }
 
+    /// Returns the remaining time that the target stated, if that was more than counts and was not
+    /// returned since another instance took the target's place.
+    pub fn take_excess(&mut self) -> Option<Duration> {
+        let Excess::Unreported(remaining) = self.excess else { return None };
+        self.excess = Excess::Reported;
+        Some(remaining)
+    }
+
+    /// Makes the next remaining time that is too long count as the first, since another instance has
+    /// taken the target's place.
+    pub fn forget_excess(&mut self) {
+        self.excess = Excess::None;
+    }
+
     /// Derives the end of the cold time from the claims.
     fn update(&mut self, now: Instant) {
+        if let Some(limit) = self.limit {
+            let excess = self.claims.values_mut().filter_map(|claim| claim.restrict(limit)).max();
+            if let (Some(remaining), Excess::None) = (excess, self.excess) {
+                self.excess = Excess::Unreported(remaining);
+            }
+        }
         let was_cold = self.cold_until.is_some_and(|until| now < until);
         self.claims.retain(|_, claim| now < claim.until);
         let latest = self.claims.values().map(|claim| claim.until).max();
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -165,6 +165,7 @@
         self.has_response = false;
         self.pace.forget_target();
         self.knee.reset();
+        self.cold.forget_excess();
     }
 
     /// Records the limit that the target named in a response. Returns whether it began or ceased to
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -144,8 +144,8 @@
     /// The targets that named a limit in their last response to this node.
     limited_targets: BTreeSet<id::Vm>,
     paced_pools: pace::Pools,
-    /// Until when targets are cold, by their entries.
-    cold_targets: BTreeMap<id::Vm, Instant>,
+    /// How much longer targets are cold, by their entries, with the times of receipt.
+    cold_targets: BTreeMap<id::Vm, (Instant, Duration)>,
     gate: Gate,
     meter: Meter,
     tracker: Tracker,
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -213,8 +213,8 @@
         match target.cold_remaining.is_zero() {
             true => _ = self.cold_targets.remove(&target.name),
             false => {
-                let until = now + target.cold_remaining;
-                self.cold_targets.insert(target.name.clone(), until);
+                let claim = (now, target.cold_remaining);
+                self.cold_targets.insert(target.name.clone(), claim);
             }
         }
     }
@@ -223,7 +223,10 @@
     pub(super) fn is_cold(&self, now: Instant, name: &id::Vm) -> bool {
         let Some(target) = self.fleet.get(name) else { return false };
         let limit = self.table.as_ref().and_then(|table| table.cold_limit(&target.pool));
-        limit.is_some() && self.cold_targets.get(name).is_some_and(|until| now < *until)
+        let claim = limit.zip(self.cold_targets.get(name));
+        claim.is_some_and(|(limit, (at, remaining))| {
+            now < *at + (*remaining).min(limit.max_remaining())
+        })
     }
 
     /// Updates all state that is derived from the table and the targets.
@@ -251,7 +254,9 @@
             });
         }
         self.limited_targets.retain(|name| self.fleet.get(name).is_some());
-        self.cold_targets.retain(|name, until| now < *until && self.fleet.get(name).is_some());
+        self.cold_targets.retain(|name, (at, remaining)| {
+            now < *at + *remaining && self.fleet.get(name).is_some()
+        });
         for (pool, picker) in &mut self.pickers {
             picker.set_targets(now, listed.get(pool).map_or(&[], Vec::as_slice));
         }
--- a/lib/tests/mesh_cold.rs
+++ b/lib/tests/mesh_cold.rs
@@ -293,3 +293,26 @@
         }
     }
 }
+
+/// Guards against a target that states a remaining time by mistake, such as one in another unit, and
+/// is kept at the rate of a cold one for minutes.
+#[test]
+fn excessive_remaining_time() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut by_entry = Flood::new();
+    by_entry.entry(2, HOUR_MS);
+    let mut by_health = Flood::new();
+    by_health.health(HOUR_MS);
+    // The entry of a node that starts may arrive before the configuration.
+    let mut before_limit = Flood::new();
+    before_limit.gate = Gate::new(60);
+    before_limit.entry(2, HOUR_MS);
+    before_limit.gate.cold_mut().set_limit(at(0), limit());
+    for mut flood in [by_entry, by_health, before_limit] {
+        assert!(flood.is_cold(2 * DURATION_MS - 1));
+        assert!(!flood.is_cold(2 * DURATION_MS), "it counts for at most twice the cold time");
+        assert_eq!(flood.gate.cold_mut().take_excess(), Some(ms(HOUR_MS)));
+        flood.entry(3, HOUR_MS);
+        assert_eq!(flood.gate.cold_mut().take_excess(), None, "the log told of this target");
+    }
+}
