fact: keep at most 64 evacuations

Any number of evacuations was kept and passed on with each update.

At most 64 are kept, those that a node learned of first; a deployment has up to 7 data centres. Those that were taken back give way to new ones. The rest is ignored with one warning until there was room again.

--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -21,6 +21,10 @@
 /// complete listing of the platform before it asks for changes.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(120);
 
+/// The largest number of evacuations that are kept, including those that were taken back. A
+/// deployment has up to 7 data centres.
+const MAX_EVACUATIONS: usize = 64;
+
 /// The entry of a target, as published by the target itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
@@ -171,6 +175,8 @@
     history_start: Position,
     /// Whether all evacuations that are in force at `position` are known.
     has_evacuations: bool,
+    /// Whether the log tells that evacuations are ignored.
+    has_ignored_evacuations: bool,
 }
 
 impl FactStore {
@@ -200,7 +206,7 @@
     /// Returns whether an update of a peer up to `position` shows the evacuation as it was before it
     /// was taken back. Its tombstone may have been dropped since.
     pub fn is_outdated_evacuation(&self, fact: &Fact, position: Position) -> bool {
-        matches!(fact.key, Key::Evacuation(_))
+        is_evacuation(fact)
             && self.has_evacuations
             && position < self.position
             && fact.position <= self.position
@@ -212,6 +218,9 @@
     /// A target that has left does not come back through an entry of a later era that is not newer
     /// than what was known of it: the store was restored from a copy made before it left.
     pub fn insert(&mut self, now: Instant, fact: &Fact) -> bool {
+        if is_evacuation(fact) && !self.has_room_for(fact) {
+            return false;
+        }
         let Some(entry) = self.entries.get_mut(&fact.key) else {
             self.entries.insert(fact.key.clone(), Entry { fact: fact.clone(), received_at: now });
             return true;
@@ -232,6 +241,33 @@
         is_changed
     }
 
+    /// Returns whether there is room for an evacuation. Drops the tombstone of the one that was taken
+    /// back first if there is none otherwise; every update has all evacuations in force, so a
+    /// tombstone is not needed to learn of changes.
+    fn has_room_for(&mut self, evacuation: &Fact) -> bool {
+        let kept =
+            || self.entries.values().map(|entry| &entry.fact).filter(|fact| is_evacuation(fact));
+        if self.entries.contains_key(&evacuation.key) || kept().count() < MAX_EVACUATIONS {
+            return true;
+        }
+        if evacuation.value == Value::Removed {
+            return false;
+        }
+        let tombstones = kept().filter(|fact| fact.value == Value::Removed);
+        let oldest = tombstones.min_by_key(|fact| fact.position).map(|fact| fact.key.clone());
+        if let Some(key) = &oldest {
+            self.entries.remove(key);
+            self.has_ignored_evacuations = false;
+        } else if !std::mem::replace(&mut self.has_ignored_evacuations, true) {
+            let Key::Evacuation(data_centre) = &evacuation.key else { return false };
+            log::warn!(
+                data_centre = data_centre.as_str(), limit = MAX_EVACUATIONS;
+                "ignored evacuations of data centres, there are too many"
+            );
+        }
+        oldest.is_some()
+    }
+
     /// Returns removals of the stored targets and evacuations that a complete listing does not
     /// contain.
     ///
@@ -258,7 +294,6 @@
     /// the peer may be complete by the facts of an earlier version, which has none.
     pub fn update_after(&self, after: Position, document: Revision) -> Update {
         let is_complete = after < self.history_start || after.era < self.position.era;
-        let is_evacuation = |fact: &Fact| matches!(fact.key, Key::Evacuation(_));
         let is_missing = |fact: &Fact| match &fact.value {
             // After a restore the newer document may have the older position.
             Value::Document(stored) => stored.revision > document || fact.position > after,
@@ -289,3 +324,7 @@
         self.history_start = history_start;
     }
 }
+
+fn is_evacuation(fact: &Fact) -> bool {
+    matches!(fact.key, Key::Evacuation(_))
+}
--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -303,3 +303,30 @@
     assert!(reader.facts().has_evacuations());
     assert_destinations(&mut reader, &["za", "zc"]);
 }
+
+/// Guards against a store or a peer with any number of evacuations, all of which would be kept and
+/// passed on with each update.
+#[test]
+fn bounded_number() {
+    let mut node = node();
+    let names: Vec<String> = (0..100).map(|i| format!("zone-{i}")).collect();
+    let all: Vec<Fact> = names.iter().map(|name| evacuation(name, at(1, 10))).collect();
+    node.apply(NOW, &all, at(1, 10));
+    let is_evacuated =
+        |node: &Node, name: &str| node.evacuations().contains(&name.parse().expect("a name"));
+    assert_eq!(node.evacuations().iter().count(), 64);
+    let update = node.facts().update_after(at(1, 9), Revision(1));
+    assert_eq!(update.facts.len(), 64);
+    assert!(is_evacuated(&node, "zone-0") && !is_evacuated(&node, "zone-99"));
+    // One that was taken back makes room. What is remembered of those does not take it.
+    for (i, name) in names.iter().enumerate().take(80) {
+        let revision = 20 + 2 * i as u64;
+        node.apply(NOW, &[taken_back(name, at(1, revision))], at(1, revision));
+        let next = evacuation(&format!("next-{i}"), at(1, revision + 1));
+        node.apply(NOW, &[next], at(1, revision + 1));
+        assert_eq!(node.evacuations().iter().count(), 64, "{i}");
+    }
+    assert!(is_evacuated(&node, "next-63") && !is_evacuated(&node, "next-64"));
+    node.apply(NOW, &[taken_back("next-0", at(1, 500))], at(1, 500));
+    assert!(!is_evacuated(&node, "next-0"));
+}
