mesh: one token bucket, one bound for classes, no copy of reported loads

Repeated code and work that the design of uneven load left behind.

`quota::TokenBucket` stays: its capacity follows the burst, the share of the node and its demand, and it refills by a margin, has no lowest rate and counts demand. - `scarcity::MAX_CLASSES` is 64 for the meter (16 before) and the averages of loads (32 before). - `standing::Refusals` is an array by kind. It is serialized as before. - The standing is computed only where a pool below the route is scarce, so `Call::standing` is absent elsewhere. `admitted_by_node` checks both cases. - The demands of a `Load` are shared, so that a response that reports loads does not copy them. Their encoding is the same. - `Node::refuse_scarce` is not public. `refused_at_entry` gets its refusals from `Node::admit` and checks the same delays, counts and demand, and that the counts are serialized in the same form.

--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -5,6 +5,7 @@
 //! based on them and does no I/O. See docs/design/platform.md.
 
 pub mod announcement;
+mod bucket;
 pub mod cold;
 pub mod demand;
 pub mod evacuation;
--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -5,17 +5,15 @@
 //! what the nearest witnesses say. See docs/design/uneven-load.md.
 
 use {
-    super::fact::Heartbeat,
+    super::{
+        bucket::{BURST, Bucket, MIN_RATE, rate_under},
+        fact::Heartbeat,
+    },
     crate::{time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// How much of the rate may accumulate while calls are fewer, in addition to one call.
-const BURST: Duration = Duration::from_millis(250);
-/// The lowest rate at which calls start, per second. It keeps waiting times within range, and the
-/// slack of the bound covers it.
-const MIN_RATE: f64 = 0.5;
 /// The starts of this time before the target became cold count against the bound, which holds in each
 /// span of one second.
 const SPAN_S: f64 = 1.0;
@@ -131,35 +129,6 @@
     Reported,
 }
 
-/// A token bucket whose rate may change.
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    tokens: f64,
-    /// The rate since `refilled_at`. Where it rises meanwhile, the bucket fills too slowly rather
-    /// than too fast.
-    rate: f64,
-    refilled_at: Instant,
-}
-
-impl Bucket {
-    /// Creates a bucket that allows one call at once. The previous process of a node may have used
-    /// what else there was.
-    fn new(now: Instant, rate: f64) -> Self {
-        Self { tokens: 1.0, rate, refilled_at: now }
-    }
-
-    fn tokens_at(&self, now: Instant) -> f64 {
-        let filled = self.tokens + self.rate * (now - self.refilled_at).as_secs_f64();
-        filled.min(self.rate * BURST.as_secs_f64() + 1.0)
-    }
-
-    fn advance(&mut self, now: Instant, rate: f64) {
-        self.tokens = self.tokens_at(now);
-        self.refilled_at = self.refilled_at.max(now);
-        self.rate = rate;
-    }
-}
-
 /// The bound on the starts of calls at the node's own target. It does nothing without a [`Limit`].
 #[derive(Clone, Debug, Default)]
 pub struct Guard {
@@ -196,7 +165,8 @@
         self.limit = limit;
         let Some(limit) = limit else { return };
         let rate = base_rate(limit);
-        self.bucket.get_or_insert(Bucket::new(now, rate)).advance(now, rate);
+        let new = Bucket::new(now, rate, capacity(rate));
+        self.bucket.get_or_insert(new).advance(now, rate, capacity(rate));
         if is_first {
             self.heard_at = self.heard_at.max(now);
             if !self.has_witness {
@@ -275,11 +245,12 @@
     /// Returns whether a call may start now.
     pub fn may_start(&mut self, now: Instant) -> bool {
         if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
-            bucket.advance(now, base_rate(limit));
+            let rate = base_rate(limit);
+            bucket.advance(now, rate, capacity(rate));
         }
         if let Some(rate) = self.rate_per_second(now).filter(|_| !self.is_cold(now)) {
             let mut ramp = self.ramp_bucket(now);
-            ramp.advance(now, rate);
+            ramp.advance(now, rate, capacity(rate));
             self.ramp = Some(ramp);
         }
         self.wait(now, 0).is_zero()
@@ -289,11 +260,11 @@
     pub fn record_start(&mut self, now: Instant) {
         if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
             let rate = base_rate(limit);
-            bucket.advance(now, rate);
-            bucket.tokens = (bucket.tokens - 1.0).max(-rate * SPAN_S);
+            bucket.advance(now, rate, capacity(rate));
+            bucket.take(rate * SPAN_S);
         }
         if let Some(ramp) = &mut self.ramp {
-            ramp.tokens -= 1.0;
+            ramp.take(f64::INFINITY);
         }
     }
 
@@ -314,8 +285,7 @@
             true => self.bucket,
             false => Some(self.ramp_bucket(now)),
         };
-        let tokens = bucket.map_or(0.0, |bucket| bucket.tokens_at(now));
-        let missing = (ahead + 1) as f64 - tokens;
+        let missing = bucket.map_or((ahead + 1) as f64, |bucket| bucket.missing(now, ahead));
         match missing > TOKEN_TOLERANCE {
             true => Duration::from_secs_f64(missing / rate),
             false => Duration::ZERO,
@@ -401,7 +371,7 @@
 
     fn ramp_bucket(&self, now: Instant) -> Bucket {
         let rate = self.limit.map_or(MIN_RATE, base_rate);
-        self.ramp.unwrap_or(Bucket::new(self.cold_until.unwrap_or(now), rate))
+        self.ramp.unwrap_or(Bucket::new(self.cold_until.unwrap_or(now), rate, capacity(rate)))
     }
 
     fn rate_per_second(&self, now: Instant) -> Option<f64> {
@@ -415,5 +385,10 @@
 }
 
 fn base_rate(limit: Limit) -> f64 {
-    limit.rate.per_second().max(MIN_RATE)
+    rate_under(limit.rate)
+}
+
+/// Returns how many calls may start at once: one in addition to what has accumulated.
+fn capacity(rate: f64) -> f64 {
+    rate * BURST.as_secs_f64() + 1.0
 }
--- a/lib/src/mesh/demand.rs
+++ b/lib/src/mesh/demand.rs
@@ -15,10 +15,10 @@
 mod window;
 
 use {
-    super::scarcity::{self, Class, ClassDemand, Load},
+    super::scarcity::{self, Class, ClassDemand, Load, MAX_CLASSES},
     crate::{pressure::Share, time::Instant, unit::RequestRate},
     calibration::{Calibration, EntryState},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     window::{Ring, Totals},
 };
 
@@ -32,8 +32,6 @@
 /// The number of standard deviations by which the demand in the recent steps has to differ from the
 /// mean to count as a change. The averages over targets and reports remove the rest of the noise.
 const SIGNIFICANT_DEVIATIONS: f64 = 1.0;
-/// The largest number of classes. Further ones count as the last known one.
-const MAX_CLASSES: usize = 16;
 /// The factor applied with each step to the sums from which mean holding times are derived. It
 /// gives a time constant of about a second.
 const HOLD_DECAY: f64 = 0.9;
@@ -208,7 +206,8 @@
         }
         let totals = self.totals.sum(self.complete_steps);
         let window_s = self.complete_steps as f64 * STEP.as_secs_f64();
-        let mut demands = std::mem::take(&mut self.load.demands);
+        let mut shared = std::mem::take(&mut self.load.demands);
+        let demands = Arc::make_mut(&mut shared);
         demands.clear();
         let fallback_s = self.mean_hold_s();
         // A pool may begin to decline most of its calls from one moment to the next.
@@ -235,7 +234,7 @@
                 && f64::from(calls) >= fraction * f64::from(totals.arrivals)
         };
         let is_contended = exceeds(lost, LOST_FRACTION) || exceeds(totals.waits, WAITING_FRACTION);
-        self.load = Load { capacity: corrected as f32, demands, is_contended };
+        self.load = Load { capacity: corrected as f32, demands: shared, is_contended };
         if window_s == 0.0 {
             return;
         }
@@ -302,6 +301,7 @@
     fn class_mut(&mut self, class: Class) -> &mut ClassMeter {
         let index = match self.classes.binary_search_by_key(&class, |meter| meter.class) {
             Ok(index) => index,
+            // A class that finds no room counts as the last known one.
             Err(index) if self.classes.len() >= MAX_CLASSES => index.min(MAX_CLASSES - 1),
             Err(index) => {
                 self.classes.insert(index, ClassMeter::new(class));
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -15,6 +15,7 @@
             standing,
             table::Kind,
         },
+        pressure::Share,
         time::Instant,
     },
     std::{
@@ -124,14 +125,28 @@
         let (standing, admitted) = match &lineage {
             Some(lineage) => (None, self.record_call(now, lineage, &route.name)),
             None => {
-                let standing = self.standing(kind, hash_fraction, account_name);
+                self.refusing_pool = None;
                 let class = Class { account: account.map_or(0, |a| a.rank), route: route.rank };
                 let path = Path { route: &route.name, pool: &pool };
-                let tested = self.test_entry(now, path, class, standing.value());
-                let admitted = tested.map_err(|scarce| {
-                    self.refuse_scarce(now, scarce.since, kind, hash_fraction, account_name)
-                })?;
-                (Some(standing), admitted)
+                let tested = self.scarcest(now, path, class).map(|scarcest| {
+                    let standing = self.standing(kind, hash_fraction, account_name);
+                    (standing, scarcest.admit(standing.value()))
+                });
+                match tested {
+                    None => (None, Share::ALL),
+                    Some((standing, Ok(admitted))) => (Some(standing), admitted),
+                    Some((_, Err(scarce))) => {
+                        let refusal = self.refuse_scarce(
+                            now,
+                            scarce.since,
+                            kind,
+                            hash_fraction,
+                            account_name,
+                        );
+                        self.refusing_pool = Some(scarce.pool);
+                        return Err(refusal);
+                    }
+                }
             }
         };
         if let Some(account) = account {
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -70,7 +70,8 @@
     pub account: Option<id::Account>,
     /// The queueing order of the request.
     pub rank: Rank,
-    /// The order of admission if the request came from a client, and `None` for a call of a run.
+    /// The order of admission if the request came from a client while a pool below its route was
+    /// scarce. Nothing else depends on it.
     pub standing: Option<Standing>,
     /// The time after which the caller does not wait for an answer any more.
     pub deadline: Instant,
--- a/lib/src/mesh/node/entry.rs
+++ b/lib/src/mesh/node/entry.rs
@@ -29,7 +29,7 @@
     ///
     /// The request must not have been charged to its account yet. It still counts as demand of the
     /// account; otherwise an account that is refused often would seem to ask for little.
-    pub fn refuse_scarce(
+    pub(super) fn refuse_scarce(
         &mut self,
         now: Instant,
         since: Instant,
--- a/lib/src/mesh/node/scarcity.rs
+++ b/lib/src/mesh/node/scarcity.rs
@@ -9,7 +9,7 @@
             demand::{Arrival, Limits, Origin},
             gate::Decision,
             lineage::Lineage,
-            scarcity::{self, Change, Class, Path, PoolLoad, PoolState, Scarce},
+            scarcity::{self, Change, Class, Path, PoolLoad, PoolState, Scarcest},
         },
         pressure::Share,
         time::Instant,
@@ -123,20 +123,18 @@
         lineage.admitted
     }
 
-    /// Decides whether a client's request may start.
-    pub(super) fn test_entry(
-        &mut self,
+    /// Returns the pool that decides whether a client's request may start, if one below its route is
+    /// scarce.
+    pub(super) fn scarcest(
+        &self,
         now: Instant,
         path: Path<'_>,
         class: Class,
-        standing: f64,
-    ) -> Result<Share, Scarce> {
+    ) -> Option<Scarcest<'_>> {
         if !self.settings.is_entry_admission_enabled {
-            return Ok(Share::ALL);
+            return None;
         }
-        let admitted = self.tracker.admit(now, path, class, standing);
-        self.refusing_pool = admitted.as_ref().err().map(|scarce| scarce.pool.clone());
-        admitted
+        self.tracker.scarcest(now, path, class)
     }
 
     fn limits(&self, now: Instant) -> Limits {
--- a/lib/src/mesh/scarcity.rs
+++ b/lib/src/mesh/scarcity.rs
@@ -7,12 +7,13 @@
 mod average;
 mod tracker;
 
-pub use tracker::{Change, Path, PoolState, Scarce, Tracker};
+pub use tracker::{Change, Path, PoolState, Scarce, Scarcest, Tracker};
 
 use {
     super::gate::Rank,
     crate::{id, pressure::Share},
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// The fraction of a pool's capacity that is given out. Closer to the capacity, random arrivals
@@ -24,6 +25,8 @@
 const MAX_WEIGHT: f64 = 1.0 / MIN_SHARE;
 /// The demand, as a fraction of the capacity, from which on a load is reported to other nodes.
 pub const MIN_PRESSURE: f64 = 0.7;
+/// The largest number of classes that are told apart. Tables have a few ranks of accounts and routes.
+pub const MAX_CLASSES: usize = 64;
 /// The largest number of loads in one response.
 const MAX_LOADS: usize = 4;
 
@@ -56,8 +59,9 @@
 pub struct Load {
     /// The capacity, in slot-seconds per second.
     pub capacity: f32,
-    /// The demands by class, in the order of the classes.
-    pub demands: Vec<ClassDemand>,
+    /// The demands by class, in the order of the classes. They are shared, since every response under
+    /// pressure carries loads.
+    pub demands: Arc<Vec<ClassDemand>>,
     /// Whether a significant part of the calls was refused or declined lately, or most had to wait.
     pub is_contended: bool,
 }
@@ -92,7 +96,7 @@
     /// leave, divided by its own demand.
     pub fn share_of(&self, class: Class) -> f64 {
         let (mut left, mut own) = (TARGET_UTILISATION * f64::from(self.capacity), 0.0);
-        for of_class in &self.demands {
+        for of_class in self.demands.iter() {
             if of_class.class < class {
                 left -= f64::from(of_class.demand);
             } else if of_class.class == class {
--- a/lib/src/mesh/scarcity/average.rs
+++ b/lib/src/mesh/scarcity/average.rs
@@ -1,9 +1,9 @@
 //! The moving average of the reported loads of one pool, and whether the pool is scarce.
 
 use {
-    super::{Class, ClassDemand, Load},
+    super::{Class, ClassDemand, Load, MAX_CLASSES},
     crate::time::Instant,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// The time constant of the average. It covers the reports of several targets of the pool.
@@ -20,8 +20,6 @@
 /// The demand that a response without a report stands for, as a fraction of the capacity. The pool
 /// is below [`super::MIN_PRESSURE`] then, or the sender does not know its load yet.
 const UNREPORTED_PRESSURE: f64 = 0.5;
-/// The largest number of classes of one pool. Further ones are not distinguished from the last.
-const MAX_CLASSES: usize = 32;
 
 /// The average load of a pool over the reports of its targets.
 #[derive(Debug)]
@@ -56,7 +54,7 @@
             true => 1.0 - weight + weight * UNREPORTED_PRESSURE / pressure,
             false => 1.0,
         };
-        for of_class in &mut self.load.demands {
+        for of_class in Arc::make_mut(&mut self.load.demands) {
             of_class.demand *= factor as f32;
         }
         self.update_state(now, false);
@@ -104,12 +102,13 @@
     fn blend(&mut self, report: &Load, weight: f64) {
         let weight = weight as f32;
         self.load.capacity += weight * (report.capacity - self.load.capacity);
-        for of_class in &mut self.load.demands {
+        let demands = Arc::make_mut(&mut self.load.demands);
+        for of_class in &mut *demands {
             of_class.demand *= 1.0 - weight;
         }
-        for of_class in &report.demands {
+        for of_class in report.demands.iter() {
             let demand = weight * of_class.demand;
-            let demands = &mut self.load.demands;
+            // A class that finds no room is not told apart from the last one.
             let is_full = demands.len() >= MAX_CLASSES;
             match demands.binary_search_by_key(&of_class.class, |known| known.class) {
                 Ok(index) => demands[index].demand += demand,
@@ -120,7 +119,7 @@
             }
         }
         // Classes that are not reported any more fade out.
-        self.load.demands.retain(|of_class| of_class.demand > f32::EPSILON);
+        demands.retain(|of_class| of_class.demand > f32::EPSILON);
     }
 
     fn update_state(&mut self, now: Instant, is_contended: bool) {
--- a/lib/src/mesh/scarcity/tracker.rs
+++ b/lib/src/mesh/scarcity/tracker.rs
@@ -37,6 +37,28 @@
     pub since: Instant,
 }
 
+/// The scarce pool at which a class has its lowest share.
+#[derive(Clone, Copy, Debug)]
+pub struct Scarcest<'a> {
+    share: Share,
+    pool: &'a id::Pool,
+    since: Instant,
+}
+
+impl Scarcest<'_> {
+    /// Returns the share at which a client's request may start.
+    ///
+    /// # Errors
+    ///
+    /// Returns the pool if the request's standing, a number between 0 and 1, is not below the share.
+    pub fn admit(&self, standing: f64) -> Result<Share, Scarce> {
+        match self.share == Share::ALL || standing < self.share.as_f64() {
+            true => Ok(self.share),
+            false => Err(Scarce { pool: self.pool.clone(), since: self.since }),
+        }
+    }
+}
+
 /// The beginning or the end of scarcity of a pool below a route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
@@ -135,12 +157,25 @@
         }
     }
 
+    /// Returns the scarce pool on a path at which a class has its lowest share, if a pool there is
+    /// scarce.
+    pub fn scarcest(&self, now: Instant, path: Path<'_>, class: Class) -> Option<Scarcest<'_>> {
+        let below = self.loads.get(path.route).into_iter().flatten();
+        let scarce = below.filter(|entry| entry.via == *path.pool).filter_map(|entry| {
+            let average = self.freshest(now, entry);
+            let since = average.scarce_since()?;
+            Some((average.share_of(now, class), &entry.pool, since))
+        });
+        let (share, pool, since) = scarce.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        // The share that is compared is the one that travels, so that the weights are exact.
+        Some(Scarcest { share: Share::from_f64(share), pool, since })
+    }
+
     /// Returns the share at which a client's request may start.
     ///
     /// # Errors
     ///
-    /// Returns the pool that has no room if the request's standing, a number between 0 and 1, is not
-    /// below the share of its class there.
+    /// Returns the pool that has no room, as [`Scarcest::admit`] does.
     pub fn admit(
         &self,
         now: Instant,
@@ -148,21 +183,8 @@
         class: Class,
         standing: f64,
     ) -> Result<Share, Scarce> {
-        let below = self.loads.get(path.route).into_iter().flatten();
-        let scarce = below.filter(|entry| entry.via == *path.pool).filter_map(|entry| {
-            let average = self.freshest(now, entry);
-            let since = average.scarce_since()?;
-            Some((average.share_of(now, class), entry, since))
-        });
-        let Some((share, entry, since)) = scarce.min_by(|(a, ..), (b, ..)| a.total_cmp(b)) else {
-            return Ok(Share::ALL);
-        };
-        // The share that is compared is the one that travels, so that the weights are exact.
-        let share = Share::from_f64(share);
-        match share == Share::ALL || standing < share.as_f64() {
-            true => Ok(share),
-            false => Err(Scarce { pool: entry.pool.clone(), since }),
-        }
+        let scarcest = self.scarcest(now, path, class);
+        scarcest.map_or(Ok(Share::ALL), |scarcest| scarcest.admit(standing))
     }
 
     /// Returns whether calls are refused or declined at a pool below that of the path.
--- a/lib/src/mesh/standing.rs
+++ b/lib/src/mesh/standing.rs
@@ -7,7 +7,7 @@
 
 use {
     super::gate::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
-    serde::Serialize,
+    serde::{Serialize, Serializer},
     std::{fmt, time::Duration},
 };
 
@@ -39,7 +39,7 @@
 }
 
 impl Kind {
-    /// All kinds.
+    /// All kinds, in the order of their declaration.
     pub const ALL: [Self; 4] = [Self::First, Self::Returned, Self::Immediate, Self::Late];
 
     /// Returns the kind of a request whose caller has spent this time on earlier attempts.
@@ -126,36 +126,25 @@
 }
 
 /// The number of requests refused at the entry because a pool is scarce, by kind.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Refusals {
-    /// First attempts.
-    pub first: u64,
-    /// Attempts after the delay that the callers were told.
-    pub returned: u64,
-    /// Attempts without that delay.
-    pub immediate: u64,
-    /// Attempts after the objective.
-    pub late: u64,
+    by_kind: [u64; Kind::ALL.len()],
 }
 
 impl Refusals {
     /// Counts a refused request.
     pub fn record(&mut self, kind: Kind) {
-        *match kind {
-            Kind::First => &mut self.first,
-            Kind::Returned => &mut self.returned,
-            Kind::Immediate => &mut self.immediate,
-            Kind::Late => &mut self.late,
-        } += 1;
+        self.by_kind[kind as usize] += 1;
     }
 
     /// Returns the number of refused requests of a kind.
     pub fn count(&self, kind: Kind) -> u64 {
-        match kind {
-            Kind::First => self.first,
-            Kind::Returned => self.returned,
-            Kind::Immediate => self.immediate,
-            Kind::Late => self.late,
-        }
+        self.by_kind[kind as usize]
+    }
+}
+
+impl Serialize for Refusals {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(Kind::ALL.map(|kind| (kind, self.count(kind))))
     }
 }
--- a/lib/tests/mesh_scarcity.rs
+++ b/lib/tests/mesh_scarcity.rs
@@ -15,6 +15,7 @@
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, VecDeque},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -381,7 +382,7 @@
 fn load(capacity: f32, demands: &[(Class, f32)]) -> Load {
     let demands =
         demands.iter().map(|(class, demand)| ClassDemand { class: *class, demand: *demand });
-    Load { capacity, demands: demands.collect(), is_contended: true }
+    Load { capacity, demands: Arc::new(demands.collect()), is_contended: true }
 }
 
 fn report(load: Load) -> Vec<PoolLoad> {
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -4,12 +4,14 @@
     monsoon_lib::{
         call::{Outcome, Reason},
         id,
+        key::Digest,
         mesh::{
             fact::{Fact, Heartbeat, Key, Value},
             lineage::hash_fraction,
-            node::{Head, Node, Settings},
+            node::{AttemptResult, Head, Node, Settings},
             position::{Era, Position},
             quota::{RateLimiter, Share, Shares},
+            scarcity::{Class, ClassDemand, Load, PoolLoad},
             standing::{Kind, Standing, account_factor, retry_after},
             table::{self, Bounds, Document, Route, Table, WeightedPool},
         },
@@ -33,10 +35,16 @@
     format!("account-{i}").parse().expect("a name")
 }
 
+fn key(i: u8) -> Digest {
+    Digest::of(account(i).as_str().as_bytes())
+}
+
 /// A table of one route and 8 accounts with a rate of 100, and one without a rate.
 fn document() -> Document {
-    let account =
-        |i, rate| table::Account { name: account(i), rank: 0, rate, burst: 100, keys: Vec::new() };
+    let account = |i, rate| {
+        let keys = vec![key(i)];
+        table::Account { name: account(i), rank: 0, rate, burst: 100, keys }
+    };
     let route = Route {
         name: "view".parse().expect("a name"),
         host: "pages.example".into(),
@@ -147,24 +155,46 @@
     assert_eq!(Kind::of(ms(50), ms(40)), First, "the difference is too small to tell a repeat");
 }
 
+fn head(request: &str, caller_timeout: Duration) -> Head {
+    Head {
+        request: request.into(),
+        host: "pages.example".into(),
+        path: "/view/x".into(),
+        key: None,
+        caller_timeout: Some(caller_timeout),
+        content_hash: 0,
+    }
+}
+
+/// Records that the pool has this demand and a capacity of 100.
+fn report(node: &mut Node, now: Instant, demand: f32) {
+    let class = Class { account: 0, route: 2 };
+    let demands = Arc::new(vec![ClassDemand { class, demand }]);
+    let load = Load { capacity: 100.0, demands, is_contended: true };
+    let loads = [PoolLoad { pool: "pages".parse().expect("a name"), load }];
+    // Before the first report, and a second after the last one, its share is large enough.
+    let call = node.admit(now, &head("reported", TIMEOUT)).expect("the request is admitted");
+    let answered = AttemptResult::Answered { has_failed: false };
+    node.record_reported_loads(now, &call, answered, &loads);
+}
+
 /// Guards against a queue at a gate in which callers that repeat at once or are late overtake first
 /// attempts.
 #[test]
 fn admitted_by_node() {
     let mut node = node();
-    for (spent, is_first_attempt) in [(0, true), (100, true), (300, false), (1_500, true)] {
-        let head = Head {
-            request: "client-1".into(),
-            host: "pages.example".into(),
-            path: "/view/x".into(),
-            key: None,
-            caller_timeout: Some(TIMEOUT - ms(spent)),
-            content_hash: 0,
-        };
-        let call = node.admit(NOW, &head).expect("the request is admitted");
-        assert_eq!(call.rank.is_first_attempt, is_first_attempt, "{spent} ms spent");
-        let kind = Kind::of(ms(spent), OBJECTIVE);
-        assert_eq!(call.standing, Some(Standing::of(kind, hash_fraction("client-1"), 1.0)));
+    for is_scarce in [false, true] {
+        for (spent, is_first_attempt) in [(0, true), (100, true), (300, false), (1_500, true)] {
+            let head = head("client-1", TIMEOUT - ms(spent));
+            let call = node.admit(NOW, &head).expect("the request is admitted");
+            assert_eq!(call.rank.is_first_attempt, is_first_attempt, "{spent} ms spent");
+            let kind = Kind::of(ms(spent), OBJECTIVE);
+            let standing = Standing::of(kind, hash_fraction("client-1"), 1.0);
+            // It is only needed while a pool is scarce.
+            assert_eq!(call.standing, is_scarce.then_some(standing));
+        }
+        // The share is 0.999, so that all are admitted.
+        report(&mut node, NOW, 95.1);
     }
 }
 
@@ -242,15 +272,26 @@
 #[test]
 fn refused_at_entry() {
     let mut node = node();
+    node.confirm(NOW);
     let since = NOW - ms(2_000);
-    for _ in 0..10 {
-        let refusal = node.refuse_scarce(NOW, since, Kind::First, 0.5, Some(&account(0)));
+    for at in [since, NOW] {
+        report(&mut node, at, 1e6);
+    }
+    let above_share = |id: &String| hash_fraction(id) > 0.02;
+    let ids: Vec<String> = (0..20).map(|i| format!("client-{i}")).filter(above_share).collect();
+    assert!(ids.len() > 11, "{ids:?}");
+    for id in &ids[..10] {
+        let head = Head { key: Some(key(0)), ..head(id, TIMEOUT) };
+        let refusal = node.admit(NOW, &head).expect_err("the pool is scarce");
         assert_eq!((refusal.outcome, refusal.reason), (Outcome::NotRun, Reason::Overload));
-        assert_eq!(refusal.retry_after, Some(ms(1_000)));
+        assert_eq!(refusal.retry_after, Some(retry_after(ms(2_000), hash_fraction(id))));
+        assert_eq!(node.take_refusing_pool(), Some("pages".parse().expect("a name")));
     }
-    node.refuse_scarce(NOW, since, Kind::Late, 0.5, None);
+    node.admit(NOW, &head(&ids[10], TIMEOUT - OBJECTIVE)).expect_err("the pool is scarce");
     let refusals = node.dump(NOW).entry_refusals;
     assert_eq!(Kind::ALL.map(|kind| refusals.count(kind)), [10, 0, 0, 1]);
+    let dumped = serde_json::to_string(&refusals).expect("it is JSON");
+    assert_eq!(dumped, r#"{"first":10,"returned":0,"immediate":0,"late":1}"#);
     let demand = node.rate_limiter().demand(ms(500));
     assert!(demand.0[&account(0)] > 5.0, "{demand:?}");
 }
@@ -268,15 +309,11 @@
 
 /// Returns whether a caller with this timeout is taken to return after a delay.
 fn has_returned(node: &mut Node, now: Instant, caller_timeout: Duration) -> bool {
-    let head = Head {
-        request: "client-1".into(),
-        host: "pages.example".into(),
-        path: "/view/x".into(),
-        key: None,
-        caller_timeout: Some(caller_timeout),
-        content_hash: 0,
-    };
-    !node.admit(now, &head).expect("the request is admitted").rank.is_first_attempt
+    !node
+        .admit(now, &head("client-1", caller_timeout))
+        .expect("the request is admitted")
+        .rank
+        .is_first_attempt
 }
 
 /// Guards against one caller with a long timeout that makes all others on the route look late for as
