--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -1,25 +1,23 @@
 //! Evacuations of data centres: where requests go, and which nodes learn of them.
 
+mod deployment;
+
 use {
+    deployment::{host, route, settings},
     monsoon_lib::{
         call::{Outcome, Reason},
         id,
         mesh::{
             fact::{Fact, Heartbeat, Key, Target, Update, Value},
             gate::{AdmissionRequest, Decision, Rank, Release},
-            node::{Head, Node, Settings},
+            node::{Head, Node},
             position::{Era, Position},
-            table::{Bounds, Document, Kind, Route, WeightedPool},
+            table::Route,
         },
         time::Instant,
-        unit::{Bytes, Revision},
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::IpAddr,
-        sync::Arc,
-        time::Duration,
+        unit::Revision,
     },
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 const NOW: Instant = Instant::from_millis(10_000);
@@ -43,52 +41,19 @@
     Fact { value: Value::Removed, ..evacuation(data_centre, position) }
 }
 
-fn host(number: u8) -> IpAddr {
-    IpAddr::from([10, 0, 0, number])
-}
-
 /// Targets 1 and 2 are in the data centre of the node, the first beside it.
 fn target(number: u8) -> Target {
     let data_centre = ["za", "za", "zb", "zb", "zc", "zc"][usize::from(number) - 1];
     Target {
-        cold_remaining: Duration::ZERO,
-        name: format!("t{number}").parse().expect("a name"),
-        pool: "desk".parse().expect("a name"),
-        address: (host(number), 80).into(),
         data_centre: data_centre.parse().expect("a name"),
         slots: 1,
-        is_leaving: false,
-        started_at_ms: 1,
+        ..deployment::target(&format!("t{number}"), &format!("{}:80", host(number)), 1)
     }
 }
 
 fn document() -> Fact {
-    let route = Route {
-        name: "read".parse().expect("a name"),
-        host: "shop.example".into(),
-        prefix: "/".into(),
-        pools: vec![WeightedPool { pool: "desk".parse().expect("a name"), weight: 1 }],
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_secs(1),
-        rank: 0,
-        attempts: 2,
-        is_open: true,
-    };
-    let bounds = Bounds {
-        head: Bytes(1 << 14),
-        body: Bytes(1 << 20),
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    let document = Document {
-        cold: Some(BTreeMap::new()),
-        revision: Revision(1),
-        routes: vec![route],
-        accounts: Vec::new(),
-        health: BTreeMap::new(),
-        bounds,
-    };
+    let route = Route { is_open: true, ..route("read", "/") };
+    let document = deployment::document(vec![route], Vec::new());
     fact(Key::Document, at(1, 1), Value::Document(Arc::new(document)))
 }
 
@@ -103,19 +68,7 @@
 }
 
 fn new_node() -> Node {
-    let settings = Settings {
-        vm: "m1".parse().expect("a name"),
-        host: host(1),
-        data_centre: "za".parse().expect("a name"),
-        pool: "desk".parse().expect("a name"),
-        target: (host(1), 80).into(),
-        withdrawal: Duration::from_secs(5),
-        drain: Duration::from_secs(2),
-        resend_permille: 140,
-        resend_window: Duration::from_secs(10),
-        is_entry_admission_enabled: false,
-    };
-    Node::new(settings, 1)
+    Node::new(settings("desk"), 1)
 }
 
 fn node() -> Node {
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -1,6 +1,9 @@
 //! Tests of the fact store, the fleet of targets, the key lease and the routing table.
 
+mod deployment;
+
 use {
+    deployment::{document, route, target},
     monsoon_lib::{
         id,
         key::Digest,
@@ -10,10 +13,10 @@
             fleet::Fleet,
             lease::Lease,
             position::{Era, Position},
-            table::{Account, Bounds, Document, Error, Kind, Route, Table, WeightedPool},
+            table::{Account, Document, Error, Route, Table},
         },
         time::Instant,
-        unit::{Bytes, Revision},
+        unit::Revision,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -26,19 +29,6 @@
     Instant::from_millis(ms)
 }
 
-fn target(name: &str, address: &str, started_at_ms: u64) -> Target {
-    Target {
-        name: name.parse().expect("a name"),
-        pool: "desk".parse().expect("a name"),
-        address: address.parse().expect("an address"),
-        data_centre: "za".parse().expect("a name"),
-        slots: 4,
-        is_leaving: false,
-        started_at_ms,
-        cold_remaining: Duration::ZERO,
-    }
-}
-
 fn in_first_era(revision: u64) -> Position {
     Position::new(Era(1), Revision(revision))
 }
@@ -190,43 +180,11 @@
     assert!(!lease.is_valid(at(1_000) + DURATION));
 }
 
-fn route(name: &str, prefix: &str) -> Route {
-    Route {
-        name: name.parse().expect("a name"),
-        host: "shop.example".into(),
-        prefix: prefix.into(),
-        pools: vec![WeightedPool { pool: "desk".parse().expect("a name"), weight: 1 }],
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_secs(1),
-        rank: 0,
-        attempts: 2,
-        is_open: false,
-    }
-}
-
 fn account(name: &str, key: &str) -> Account {
     let name = name.parse().expect("a name");
     Account { name, rank: 0, rate: None, burst: 0, keys: vec![Digest::of(key.as_bytes())] }
 }
 
-fn document(routes: Vec<Route>, accounts: Vec<Account>) -> Document {
-    let bounds = Bounds {
-        head: Bytes(1),
-        body: Bytes(1),
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
-    Document {
-        revision: Revision(1),
-        routes,
-        accounts,
-        health: BTreeMap::new(),
-        bounds,
-        cold: Some(BTreeMap::new()),
-    }
-}
-
 fn table(routes: Vec<Route>, accounts: Vec<Account>) -> Result<Table, Error> {
     Table::new(document(routes, accounts))
 }
--- a/lib/tests/mesh_pace.rs
+++ b/lib/tests/mesh_pace.rs
@@ -1,14 +1,16 @@
 //! Tests of the placement of calls by the time that they take at present.
 
+mod deployment;
 mod pool;
 
 use {
+    deployment::{settings, target},
     monsoon_lib::{
         mesh::{
             announcement::{Announcement, Load, Pace},
-            fact::{Fact, Heartbeat, Key, Target, Value},
+            fact::{Fact, Heartbeat, Key, Value},
             gate::Gate,
-            node::{Node, Settings},
+            node::Node,
             pace::Tracker,
             position::{Era, Position},
         },
@@ -154,29 +156,8 @@
 fn pools_with_pace() {
     let (pool, name): (monsoon_lib::id::Pool, monsoon_lib::id::Vm) =
         ("desk".parse().expect("a name"), "t1".parse().expect("a name"));
-    let target = Target {
-        name: name.clone(),
-        pool: pool.clone(),
-        address: ([10, 0, 0, 1], 80).into(),
-        data_centre: "za".parse().expect("a name"),
-        slots: 4,
-        is_leaving: false,
-        started_at_ms: 1,
-        cold_remaining: Duration::ZERO,
-    };
-    let settings = Settings {
-        vm: "m1".parse().expect("a name"),
-        host: [10, 0, 0, 1].into(),
-        data_centre: "za".parse().expect("a name"),
-        pool: pool.clone(),
-        target: target.address,
-        withdrawal: Duration::from_secs(5),
-        drain: Duration::from_secs(2),
-        resend_permille: 140,
-        resend_window: Duration::from_secs(10),
-        is_entry_admission_enabled: false,
-    };
-    let mut node = Node::new(settings, 1);
+    let target = target("t1", "10.0.0.1:80", 1);
+    let mut node = Node::new(settings("desk"), 1);
     let position = Position::new(Era(0), Revision(1));
     let fact = Fact {
         key: Key::Target(name.clone()),
--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -1,18 +1,17 @@
 //! Tests of distributed rate limits in virtual time.
 
+mod deployment;
+
 use {
+    deployment::table_with_rate,
     monsoon_lib::{
         id,
-        mesh::{
-            quota::{Coordinator, Demand, PERIOD, RateLimiter},
-            table::{Account, Bounds, Document, Table},
-        },
+        mesh::quota::{Coordinator, Demand, PERIOD, RateLimiter},
         time::Instant,
-        unit::{Bytes, Rate, Revision},
     },
     rand::{RngExt as _, SeedableRng as _},
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeMap, net::IpAddr, time::Duration},
+    std::{net::IpAddr, time::Duration},
 };
 
 const RATE: u64 = 100;
@@ -29,26 +28,6 @@
     "alpha".parse().expect("a name")
 }
 
-fn table(rate: u64) -> Table {
-    let account =
-        Account { name: account(), rank: 1, rate: Some(Rate(rate)), burst: rate, keys: Vec::new() };
-    let bounds = Bounds {
-        head: Bytes(1),
-        body: Bytes(1),
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
-    let document = Document {
-        revision: Revision(1),
-        routes: Vec::new(),
-        accounts: vec![account],
-        health: BTreeMap::new(),
-        bounds,
-        cold: Some(BTreeMap::new()),
-    };
-    Table::new(document).expect("a valid table")
-}
-
 struct Simulation {
     now: Instant,
     rate: u64,
@@ -80,7 +59,7 @@
 
     fn limiter(&self, nodes: usize) -> RateLimiter {
         let mut limiter = RateLimiter::default();
-        limiter.set_table(self.now, &table(self.rate));
+        limiter.set_table(self.now, &table_with_rate("alpha", self.rate));
         limiter.set_node_count(self.now, nodes);
         limiter
     }
@@ -238,7 +217,7 @@
     let now = Instant::from_millis(1_000);
     let mut limiter = RateLimiter::default();
     limiter.set_node_count(now, 3);
-    limiter.set_table(now, &table(0));
+    limiter.set_table(now, &table_with_rate("alpha", 0));
     for second in 0..5 {
         let now = now + Duration::from_secs(second);
         assert!(limiter.try_acquire(now, &account()).is_err(), "after {second} s");
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -1,5 +1,7 @@
 //! Tests of the order in which clients' requests are admitted while a pool is scarce.
 
+mod deployment;
+
 use {
     monsoon_lib::{
         call::{Outcome, Reason},
@@ -13,12 +15,12 @@
             quota::{RateLimiter, Share, Shares},
             scarcity::{Class, ClassDemand, Load, PoolLoad},
             standing::{Kind, Standing, account_factor, retry_after},
-            table::{self, Bounds, Document, Route, Table, WeightedPool},
+            table::{self, Document, Route, Table, WeightedPool},
         },
         time::Instant,
-        unit::{Bytes, Rate, Revision},
+        unit::{Rate, Revision},
     },
-    std::{collections::BTreeMap, net::IpAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 const OBJECTIVE: Duration = Duration::from_millis(1_500);
@@ -46,49 +48,21 @@
         table::Account { name: account(i), rank: 0, rate, burst: 100, keys }
     };
     let route = Route {
-        name: "view".parse().expect("a name"),
         host: "pages.example".into(),
-        prefix: "/view/".into(),
         pools: vec![WeightedPool { pool: "pages".parse().expect("a name"), weight: 1 }],
-        kind: table::Kind::Idempotent,
         timeout: TIMEOUT,
         objective: OBJECTIVE,
         rank: 2,
-        attempts: 2,
         is_open: true,
+        ..deployment::route("view", "/view/")
     };
     let mut accounts: Vec<_> = (0..8).map(|i| account(i, Some(Rate(100)))).collect();
     accounts.push(account(8, None));
-    let bounds = Bounds {
-        head: Bytes(1 << 14),
-        body: Bytes(1 << 20),
-        head_timeout: ms(3_000),
-        idle_timeout: ms(15_000),
-    };
-    Document {
-        cold: Some(BTreeMap::new()),
-        revision: Revision(1),
-        routes: vec![route],
-        accounts,
-        health: BTreeMap::new(),
-        bounds,
-    }
+    deployment::document(vec![route], accounts)
 }
 
 fn node() -> Node {
-    let host = IpAddr::from([10, 0, 0, 1]);
-    let settings = Settings {
-        vm: "m1".parse().expect("a name"),
-        host,
-        data_centre: "za".parse().expect("a name"),
-        pool: "pages".parse().expect("a name"),
-        target: (host, 80).into(),
-        withdrawal: ms(5_000),
-        drain: ms(2_000),
-        resend_permille: 140,
-        resend_window: ms(10_000),
-        is_entry_admission_enabled: true,
-    };
+    let settings = Settings { is_entry_admission_enabled: true, ..deployment::settings("pages") };
     let mut node = Node::new(settings, 1);
     let position = Position::new(Era(1), Revision(1));
     let document = Fact {
--- a/lib/tests/quota_restart.rs
+++ b/lib/tests/quota_restart.rs
@@ -1,18 +1,17 @@
 //! Sold rates while most nodes of a large deployment restart, in virtual time.
 
+mod deployment;
+
 use {
+    deployment::table_with_rate,
     monsoon_lib::{
         id,
-        mesh::{
-            quota::{Coordinator, PERIOD, RateLimiter},
-            table::{Account, Bounds, Document, Table},
-        },
+        mesh::quota::{Coordinator, PERIOD, RateLimiter},
         time::Instant,
-        unit::{Bytes, Rate, Revision},
     },
     rand::{RngExt as _, SeedableRng as _},
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeMap, net::IpAddr, time::Duration},
+    std::{net::IpAddr, time::Duration},
 };
 
 const STEP: Duration = Duration::from_millis(10);
@@ -27,26 +26,6 @@
     "alpha".parse().expect("a name")
 }
 
-fn table(rate: u64) -> Table {
-    let account =
-        Account { name: account(), rank: 1, rate: Some(Rate(rate)), burst: rate, keys: Vec::new() };
-    let bounds = Bounds {
-        head: Bytes(1),
-        body: Bytes(1),
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
-    Table::new(Document {
-        revision: Revision(1),
-        routes: Vec::new(),
-        accounts: vec![account],
-        health: BTreeMap::new(),
-        bounds,
-        cold: Some(BTreeMap::new()),
-    })
-    .expect("a valid table")
-}
-
 /// The time from the start of a node until it knows how many others there are.
 const DISCOVERY: Duration = Duration::from_millis(100);
 
@@ -89,7 +68,7 @@
 
     fn started(&mut self, at: Instant) -> Node {
         let mut limiter = RateLimiter::default();
-        limiter.set_table(at, &table(self.rate));
+        limiter.set_table(at, &table_with_rate("alpha", self.rate));
         let offset = Duration::from_millis(self.random.random_range(0..PERIOD.as_millis() as u64));
         Node {
             limiter,
