--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -5,17 +5,15 @@
 //! what the nearest witnesses say. See docs/design/uneven-load.md.
 
 use {
-    super::fact::Heartbeat,
+    super::{
+        bucket::{BURST, Bucket, MIN_RATE, rate_under},
+        fact::Heartbeat,
+    },
     crate::{time::Instant, unit::RequestRate},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// How much of the rate may accumulate while calls are fewer, in addition to one call.
-const BURST: Duration = Duration::from_millis(250);
-/// The lowest rate at which calls start, per second. It keeps waiting times within range, and the
-/// slack of the bound covers it.
-const MIN_RATE: f64 = 0.5;
 /// The starts of this time before the target became cold count against the bound, which holds in each
 /// span of one second.
 const SPAN_S: f64 = 1.0;
@@ -32,6 +30,9 @@
 /// The time without a new entry after which the target itself is asked. Targets renew their entries
 /// about every two seconds, so the node or the target is cut off from the store.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A stated remaining time counts for at most the configured cold time, times this number. A target
+/// may state one in another unit by mistake.
+const MAX_STATED_COLD_TIMES: u32 = 2;
 /// The end of a cold time that is not known yet.
 const UNKNOWN_END: Instant = Instant::from_nanos(u64::MAX);
 /// Keeps rounding from delaying a start by another wait.
@@ -46,6 +47,13 @@
     pub rate: RequestRate,
 }
 
+impl Limit {
+    /// Returns the longest remaining time that a target may state.
+    pub fn max_remaining(&self) -> Duration {
+        self.duration.saturating_mul(MAX_STATED_COLD_TIMES)
+    }
+}
+
 /// By what a target is known to be cold.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Witness {
@@ -90,37 +98,37 @@
 struct Claim {
     made_at: Instant,
     until: Instant,
+    /// The remaining time that the target stated, and when that was received.
+    stated: Option<(Instant, Duration)>,
 }
 
-/// A token bucket whose rate may change.
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    tokens: f64,
-    /// The rate since `refilled_at`. Where it rises meanwhile, the bucket fills too slowly rather
-    /// than too fast.
-    rate: f64,
-    refilled_at: Instant,
-}
-
-impl Bucket {
-    /// Creates a bucket that allows one call at once. The previous process of a node may have used
-    /// what else there was.
-    fn new(now: Instant, rate: f64) -> Self {
-        Self { tokens: 1.0, rate, refilled_at: now }
+impl Claim {
+    fn new(made_at: Instant, until: Instant) -> Self {
+        Self { made_at, until, stated: None }
     }
 
-    fn tokens_at(&self, now: Instant) -> f64 {
-        let filled = self.tokens + self.rate * (now - self.refilled_at).as_secs_f64();
-        filled.min(self.rate * BURST.as_secs_f64() + 1.0)
+    fn stated(made_at: Instant, now: Instant, remaining: Duration) -> Self {
+        Self { made_at, until: now + remaining, stated: Some((now, remaining)) }
     }
 
-    fn advance(&mut self, now: Instant, rate: f64) {
-        self.tokens = self.tokens_at(now);
-        self.refilled_at = self.refilled_at.max(now);
-        self.rate = rate;
+    /// Shortens a remaining time that exceeds what the bound allows, and returns it if it does.
+    fn restrict(&mut self, limit: Limit) -> Option<Duration> {
+        let (at, remaining) = self.stated?;
+        self.until = at + remaining.min(limit.max_remaining());
+        (remaining > limit.max_remaining()).then_some(remaining)
     }
 }
 
+/// Whether the target stated a longer remaining time than counts.
+#[derive(Clone, Copy, Debug, Default)]
+enum Excess {
+    #[default]
+    None,
+    /// It did, and the log does not tell yet.
+    Unreported(Duration),
+    Reported,
+}
+
 /// The bound on the starts of calls at the node's own target. It does nothing without a [`Limit`].
 #[derive(Clone, Debug, Default)]
 pub struct Guard {
@@ -145,6 +153,7 @@
     is_check_requested: bool,
     was_cold: bool,
     held_back: u64,
+    excess: Excess,
 }
 
 impl Guard {
@@ -156,12 +165,12 @@
         self.limit = limit;
         let Some(limit) = limit else { return };
         let rate = base_rate(limit);
-        self.bucket.get_or_insert(Bucket::new(now, rate)).advance(now, rate);
+        let new = Bucket::new(now, rate, capacity(rate));
+        self.bucket.get_or_insert(new).advance(now, rate, capacity(rate));
         if is_first {
             self.heard_at = self.heard_at.max(now);
             if !self.has_witness {
-                self.claims
-                    .insert(Witness::Start, Claim { made_at: now, until: now + limit.duration });
+                self.claims.insert(Witness::Start, Claim::new(now, now + limit.duration));
             }
         }
         self.update(now);
@@ -184,7 +193,7 @@
         if is_taken {
             self.entry = Some((heartbeat, remaining));
             self.heard_at = now;
-            self.claims.insert(Witness::Entry, Claim { made_at: now, until: now + remaining });
+            self.claims.insert(Witness::Entry, Claim::stated(now, now, remaining));
         }
         self.update(now);
     }
@@ -193,7 +202,7 @@
     /// before that.
     pub fn record_health(&mut self, asked_at: Instant, now: Instant, remaining: Duration) {
         self.claims.retain(|_, claim| claim.made_at > asked_at);
-        self.claims.insert(Witness::Health, Claim { made_at: asked_at, until: now + remaining });
+        self.claims.insert(Witness::Health, Claim::stated(asked_at, now, remaining));
         self.has_witness = true;
         self.heard_at = now;
         self.is_check_requested = false;
@@ -203,7 +212,7 @@
     /// Records that the target crashed or does not accept connections.
     pub fn record_down(&mut self, now: Instant) {
         if self.limit.is_some() {
-            self.claims.insert(Witness::Observation, Claim { made_at: now, until: UNKNOWN_END });
+            self.claims.insert(Witness::Observation, Claim::new(now, UNKNOWN_END));
             self.update(now);
         }
     }
@@ -211,7 +220,7 @@
     /// Records that the target accepts connections again.
     pub fn record_up(&mut self, now: Instant) {
         let Some(limit) = self.limit.filter(|_| self.is_down()) else { return };
-        let claim = Claim { made_at: now, until: now + limit.duration };
+        let claim = Claim::new(now, now + limit.duration);
         self.claims.insert(Witness::Observation, claim);
         self.update(now);
     }
@@ -236,11 +245,12 @@
     /// Returns whether a call may start now.
     pub fn may_start(&mut self, now: Instant) -> bool {
         if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
-            bucket.advance(now, base_rate(limit));
+            let rate = base_rate(limit);
+            bucket.advance(now, rate, capacity(rate));
         }
         if let Some(rate) = self.rate_per_second(now).filter(|_| !self.is_cold(now)) {
             let mut ramp = self.ramp_bucket(now);
-            ramp.advance(now, rate);
+            ramp.advance(now, rate, capacity(rate));
             self.ramp = Some(ramp);
         }
         self.wait(now, 0).is_zero()
@@ -250,11 +260,11 @@
     pub fn record_start(&mut self, now: Instant) {
         if let (Some(limit), Some(bucket)) = (self.limit, &mut self.bucket) {
             let rate = base_rate(limit);
-            bucket.advance(now, rate);
-            bucket.tokens = (bucket.tokens - 1.0).max(-rate * SPAN_S);
+            bucket.advance(now, rate, capacity(rate));
+            bucket.take(rate * SPAN_S);
         }
         if let Some(ramp) = &mut self.ramp {
-            ramp.tokens -= 1.0;
+            ramp.take(f64::INFINITY);
         }
     }
 
@@ -275,8 +285,7 @@
             true => self.bucket,
             false => Some(self.ramp_bucket(now)),
         };
-        let tokens = bucket.map_or(0.0, |bucket| bucket.tokens_at(now));
-        let missing = (ahead + 1) as f64 - tokens;
+        let missing = bucket.map_or((ahead + 1) as f64, |bucket| bucket.missing(now, ahead));
         match missing > TOKEN_TOLERANCE {
             true => Duration::from_secs_f64(missing / rate),
             false => Duration::ZERO,
@@ -322,8 +331,28 @@
         }
     }
 
+    /// Returns the remaining time that the target stated, if that was more than counts and was not
+    /// returned since another instance took the target's place.
+    pub fn take_excess(&mut self) -> Option<Duration> {
+        let Excess::Unreported(remaining) = self.excess else { return None };
+        self.excess = Excess::Reported;
+        Some(remaining)
+    }
+
+    /// Makes the next remaining time that is too long count as the first, since another instance has
+    /// taken the target's place.
+    pub fn forget_excess(&mut self) {
+        self.excess = Excess::None;
+    }
+
     /// Derives the end of the cold time from the claims.
     fn update(&mut self, now: Instant) {
+        if let Some(limit) = self.limit {
+            let excess = self.claims.values_mut().filter_map(|claim| claim.restrict(limit)).max();
+            if let (Some(remaining), Excess::None) = (excess, self.excess) {
+                self.excess = Excess::Unreported(remaining);
+            }
+        }
         let was_cold = self.cold_until.is_some_and(|until| now < until);
         self.claims.retain(|_, claim| now < claim.until);
         let latest = self.claims.values().map(|claim| claim.until).max();
@@ -342,7 +371,7 @@
 
     fn ramp_bucket(&self, now: Instant) -> Bucket {
         let rate = self.limit.map_or(MIN_RATE, base_rate);
-        self.ramp.unwrap_or(Bucket::new(self.cold_until.unwrap_or(now), rate))
+        self.ramp.unwrap_or(Bucket::new(self.cold_until.unwrap_or(now), rate, capacity(rate)))
     }
 
     fn rate_per_second(&self, now: Instant) -> Option<f64> {
@@ -356,5 +385,10 @@
 }
 
 fn base_rate(limit: Limit) -> f64 {
-    limit.rate.per_second().max(MIN_RATE)
+    rate_under(limit.rate)
+}
+
+/// Returns how many calls may start at once: one in addition to what has accumulated.
+fn capacity(rate: f64) -> f64 {
+    rate * BURST.as_secs_f64() + 1.0
 }
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -40,7 +40,11 @@
 const UNTRACED_CALL_LEVELS: f64 = 4.0;
 /// The fraction of the resend budget that is available to requests that a target ran and failed.
 /// Most fail because one of their own calls failed, and each repeat makes all of its calls again.
-const FAILED_RUN_FRACTION: f64 = 0.25;
+const FAILED_RUN_FRACTION: f64 = 0.2;
+/// The fraction of the resend budget that is available to requests whose answer was lost. The calls
+/// of a repeated run count as repeats too, so repeats at several levels of a chain add up.
+const LOST_RUN_FRACTION: f64 = 0.8;
+
 /// The properties of a request that decide on its routing and admission.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -71,7 +75,8 @@
     pub account: Option<id::Account>,
     /// The queueing order of the request.
     pub rank: Rank,
-    /// The order of admission if the request came from a client, and `None` for a call of a run.
+    /// The order of admission if the request came from a client while a pool below its route was
+    /// scarce. Nothing else depends on it.
     pub standing: Option<Standing>,
     /// The time after which the caller does not wait for an answer any more.
     pub deadline: Instant,
@@ -240,7 +245,7 @@
             }
             AttemptResult::Lost(reason) => {
                 call.possible_runs += 1;
-                match self.may_run_again(now, call, 1.0) {
+                match self.may_run_again(now, call, LOST_RUN_FRACTION) {
                     true => NextStep::Resend,
                     false => NextStep::Refuse(Refusal::unknown(reason)),
                 }
--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -1,25 +1,23 @@
 //! Evacuations of data centres: where requests go, and which nodes learn of them.
 
+mod deployment;
+
 use {
+    deployment::{host, route, settings},
     monsoon_lib::{
         call::{Outcome, Reason},
         id,
         mesh::{
             fact::{Fact, Heartbeat, Key, Target, Update, Value},
             gate::{AdmissionRequest, Decision, Rank, Release},
-            node::{Head, Node, Settings},
+            node::{Head, Node},
             position::{Era, Position},
-            table::{Bounds, Document, Kind, Route, WeightedPool},
+            table::Route,
         },
         time::Instant,
-        unit::{Bytes, Revision},
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::IpAddr,
-        sync::Arc,
-        time::Duration,
+        unit::Revision,
     },
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 const NOW: Instant = Instant::from_millis(10_000);
@@ -43,52 +41,19 @@
     Fact { value: Value::Removed, ..evacuation(data_centre, position) }
 }
 
-fn host(number: u8) -> IpAddr {
-    IpAddr::from([10, 0, 0, number])
-}
-
 /// Targets 1 and 2 are in the data centre of the node, the first beside it.
 fn target(number: u8) -> Target {
     let data_centre = ["za", "za", "zb", "zb", "zc", "zc"][usize::from(number) - 1];
     Target {
-        cold_remaining: Duration::ZERO,
-        name: format!("t{number}").parse().expect("a name"),
-        pool: "desk".parse().expect("a name"),
-        address: (host(number), 80).into(),
         data_centre: data_centre.parse().expect("a name"),
         slots: 1,
-        is_leaving: false,
-        started_at_ms: 1,
+        ..deployment::target(&format!("t{number}"), &format!("{}:80", host(number)), 1)
     }
 }
 
 fn document() -> Fact {
-    let route = Route {
-        name: "read".parse().expect("a name"),
-        host: "shop.example".into(),
-        prefix: "/".into(),
-        pools: vec![WeightedPool { pool: "desk".parse().expect("a name"), weight: 1 }],
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_secs(1),
-        rank: 0,
-        attempts: 2,
-        is_open: true,
-    };
-    let bounds = Bounds {
-        head: Bytes(1 << 14),
-        body: Bytes(1 << 20),
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    let document = Document {
-        cold: BTreeMap::new(),
-        revision: Revision(1),
-        routes: vec![route],
-        accounts: Vec::new(),
-        health: BTreeMap::new(),
-        bounds,
-    };
+    let route = Route { is_open: true, ..route("read", "/") };
+    let document = deployment::document(vec![route], Vec::new());
     fact(Key::Document, at(1, 1), Value::Document(Arc::new(document)))
 }
 
@@ -103,19 +68,7 @@
 }
 
 fn new_node() -> Node {
-    let settings = Settings {
-        vm: "m1".parse().expect("a name"),
-        host: host(1),
-        data_centre: "za".parse().expect("a name"),
-        pool: "desk".parse().expect("a name"),
-        target: (host(1), 80).into(),
-        withdrawal: Duration::from_secs(5),
-        drain: Duration::from_secs(2),
-        resend_permille: 140,
-        resend_window: Duration::from_secs(10),
-        is_entry_admission_enabled: false,
-    };
-    Node::new(settings, 1)
+    Node::new(settings("desk"), 1)
 }
 
 fn node() -> Node {
@@ -303,3 +256,30 @@
     assert!(reader.facts().has_evacuations());
     assert_destinations(&mut reader, &["za", "zc"]);
 }
+
+/// Guards against a store or a peer with any number of evacuations, all of which would be kept and
+/// passed on with each update.
+#[test]
+fn bounded_number() {
+    let mut node = node();
+    let names: Vec<String> = (0..100).map(|i| format!("zone-{i}")).collect();
+    let all: Vec<Fact> = names.iter().map(|name| evacuation(name, at(1, 10))).collect();
+    node.apply(NOW, &all, at(1, 10));
+    let is_evacuated =
+        |node: &Node, name: &str| node.evacuations().contains(&name.parse().expect("a name"));
+    assert_eq!(node.evacuations().iter().count(), 64);
+    let update = node.facts().update_after(at(1, 9), Revision(1));
+    assert_eq!(update.facts.len(), 64);
+    assert!(is_evacuated(&node, "zone-0") && !is_evacuated(&node, "zone-99"));
+    // One that was taken back makes room. What is remembered of those does not take it.
+    for (i, name) in names.iter().enumerate().take(80) {
+        let revision = 20 + 2 * i as u64;
+        node.apply(NOW, &[taken_back(name, at(1, revision))], at(1, revision));
+        let next = evacuation(&format!("next-{i}"), at(1, revision + 1));
+        node.apply(NOW, &[next], at(1, revision + 1));
+        assert_eq!(node.evacuations().iter().count(), 64, "{i}");
+    }
+    assert!(is_evacuated(&node, "next-63") && !is_evacuated(&node, "next-64"));
+    node.apply(NOW, &[taken_back("next-0", at(1, 500))], at(1, 500));
+    assert!(!is_evacuated(&node, "next-0"));
+}
