--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -126,11 +126,16 @@
         bytes::{Bytes, BytesMut},
         monsoon_lib::{
             id,
-            mesh::{cold, gate::Rank, node::ForwardedRequest, scarcity::PoolLoad},
+            mesh::{
+                cold,
+                gate::Rank,
+                node::ForwardedRequest,
+                scarcity::{Class, ClassDemand, Load, PoolLoad},
+            },
             pressure::Share,
         },
         serde::{Deserialize, Serialize},
-        std::time::Duration,
+        std::{sync::Arc, time::Duration},
     };
 
     /// The layout before `has_cold_limits` was added.
@@ -233,6 +238,17 @@
         }
     }
 
+    /// Guards against loads that nodes of earlier versions read as other numbers.
+    #[test]
+    fn layout_of_loads() {
+        let class = Class { account: 0, route: 2 };
+        let demands = Arc::new(vec![ClassDemand { class, demand: 2.0 }]);
+        let load = Load { capacity: 1.0, demands, is_contended: true };
+        let loads = vec![PoolLoad { pool: "a".parse().expect("a name"), load }];
+        let bytes = postcard::to_stdvec(&Supplement::RunFinished { loads }).expect("it is small");
+        assert_eq!(bytes, [1, 1, 1, b'a', 0, 0, 128, 63, 1, 0, 2, 0, 0, 0, 64, 1]);
+    }
+
     /// A supplement of a later version does not make the message unreadable.
     #[test]
     fn later_version() {
