--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        scarcity,
+        scarcity, target,
     },
     crate::clock,
     monsoon_lib::{call::Refusal, id, mesh::standing},
@@ -36,6 +36,7 @@
     target_limit: Gauge,
     entry_refused: IntCounterVec,
     pool_loads: scarcity::Gauges,
+    connections: target::Counters,
     target_pace: IntGauge,
     concurrency_limit: IntGauge,
     target_cold: IntGauge,
@@ -116,6 +117,7 @@
         let entry_refused = IntCounterVec::new(entry_refused, &["pool"])?;
         registry.register(Box::new(entry_refused.clone()))?;
         let pool_loads = scarcity::Gauges::new(&registry)?;
+        let connections = target::Counters::new(&registry)?;
         Ok(Self {
             registry,
             answered,
@@ -132,6 +134,7 @@
             target_limit,
             entry_refused,
             pool_loads,
+            connections,
             target_pace,
             concurrency_limit,
             target_cold,
@@ -152,6 +155,11 @@
         self.sent_to_target.inc();
     }
 
+    /// Returns the counters of the connections to the own target.
+    pub fn connections(&self) -> &target::Counters {
+        &self.connections
+    }
+
     /// Counts a client's request that was refused because a pool below its route cannot carry it.
     pub fn refused_at_entry(&self, pool: &id::Pool) {
         self.entry_refused.with_label_values(&[pool.as_str()]).inc();
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -97,13 +97,14 @@
     let peers_listener = bind_listener("peers", settings.peer_address).await?;
     let readiness = bind_listener("readiness", settings.readiness_address).await?;
     let data_centre = settings.node.data_centre.clone();
+    let metrics = Metrics::new()?;
     let mesh = Rc::new(Mesh {
         links: Links::new(settings.node.host, settings.peer_address.port(), data_centre),
-        target: Target::new(settings.node.target),
+        target: Target::new(settings.node.target, metrics.connections().clone()),
         node: RefCell::new(Node::new(settings.node, rand::random())),
         header_adapter,
         directory,
-        metrics: Metrics::new()?,
+        metrics,
         buffer: Buffer::for_requests(),
         last_readiness: Cell::new(Ok(())),
         is_behind: Cell::default(),
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -1,5 +1,9 @@
 //! The pool of HTTP/1.1 connections to the node's own target. Each carries one request at a time.
 
+mod connection;
+
+pub use connection::Counters;
+
 use {
     super::{
         adapter::{HeaderAdapter, Health, ResponseVerdict},
@@ -8,6 +12,7 @@
     },
     crate::http::message::{Answer, Field, Request, end_to_end_fields},
     bytes::{Bytes, BytesMut},
+    connection::{Connection, Ending, Opening},
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::{
         HeaderMap, Method, Response, Uri,
@@ -21,7 +26,7 @@
         mesh::node::ForwardedRequest,
     },
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{task::JoinHandle, time::Instant},
+    tokio::time::Instant,
 };
 
 /// The largest response body that is accepted from a target, in bytes. A target in trouble may send
@@ -76,12 +81,13 @@
     idle_since: Instant,
 }
 
-/// The task that drives a connection. Dropping it closes the connection.
-struct Connection(JoinHandle<()>);
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.abort();
+impl IdleConnection {
+    /// Returns how the connection has ended, unless it can still be used.
+    fn ending(&self, now: Instant) -> Option<Ending> {
+        match self.sender.is_closed() {
+            true => Some(Ending::Target),
+            false => (self.expires_at <= now).then_some(Ending::Expired),
+        }
     }
 }
 
@@ -90,12 +96,13 @@
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
     buffer: Buffer,
+    counters: Counters,
 }
 
 impl Target {
     /// Creates an empty pool for the target at `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default(), buffer: Buffer::for_responses() }
+    pub fn new(address: SocketAddr, counters: Counters) -> Self {
+        Self { address, idle: RefCell::default(), buffer: Buffer::for_responses(), counters }
     }
 
     /// Returns the number of bytes of response bodies that are being received.
@@ -106,12 +113,18 @@
     /// Closes connections that have been idle for too long or were closed by the target.
     pub fn evict_expired(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        self.idle.borrow_mut().retain(|idle| {
+            let ending = idle.ending(now);
+            ending.into_iter().for_each(|ending| idle.connection.set_ending(ending));
+            ending.is_none()
+        });
     }
 
     /// Closes all idle connections.
     pub fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
+        for idle in self.idle.borrow_mut().drain(..) {
+            idle.connection.set_ending(Ending::Expired);
+        }
     }
 
     /// Runs a request. Dropping the future closes the connection, on which the target aborts it.
@@ -138,7 +151,10 @@
         let sent_at = Instant::now();
         let response = match tokio::time::timeout(timeout, response_future).await {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Reason::Broken, error.to_string()),
+            Ok(Err(error)) => {
+                connection.set_ending(Ending::Broken);
+                return ExchangeResult::MayHaveRun(Reason::Broken, error.to_string());
+            }
             Err(_) => {
                 return ExchangeResult::MayHaveRun(Reason::Deadline, "response timed out".into());
             }
@@ -148,14 +164,20 @@
         let remaining = timeout.saturating_sub(sent_at.elapsed());
         let body = match tokio::time::timeout(remaining, self.read_body(response)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Reason::Broken, error),
+            Ok(Err(error)) => {
+                connection.set_ending(Ending::Broken);
+                return ExchangeResult::MayHaveRun(Reason::Broken, error);
+            }
             Err(_) => return ExchangeResult::MayHaveRun(Reason::Deadline, "body timed out".into()),
         };
         match header_adapter.classify_response(&forwarded.request, status, &headers) {
-            ResponseVerdict::Mismatched => ExchangeResult::MayHaveRun(
-                Reason::Broken,
-                format!("mismatched response with status {status}"),
-            ),
+            ResponseVerdict::Mismatched => {
+                connection.set_ending(Ending::Broken);
+                ExchangeResult::MayHaveRun(
+                    Reason::Broken,
+                    format!("mismatched response with status {status}"),
+                )
+            }
             ResponseVerdict::NotExecuted(refusal) => {
                 self.return_to_pool(sender, connection, &headers);
                 let fields = end_to_end_fields(&headers, |_| true);
@@ -190,12 +212,16 @@
         is_idempotent: bool,
     ) -> io::Result<(SendRequest<Full<Bytes>>, Connection)> {
         let now = Instant::now();
+        let mut opening = Opening::NoneIdle;
         // The most recently used connection is the least likely to have been closed by the target.
         while let Some(idle) = self.idle.borrow_mut().pop() {
             let is_safe = is_idempotent || now - idle.idle_since < NON_IDEMPOTENT_MAX_IDLE;
             if idle.expires_at > now && is_safe && idle.sender.is_ready() {
                 return Ok((idle.sender, idle.connection));
             }
+            let is_closed = !idle.sender.is_ready();
+            idle.connection.set_ending(if is_closed { Ending::Target } else { Ending::Expired });
+            opening = Opening::Expired;
         }
         let stream = socket::connect(self.address).await?;
         let (sender, connection) = http1::Builder::new()
@@ -208,7 +234,7 @@
                 log::debug!(error:% = error; "connection to the target closed");
             }
         });
-        Ok((sender, Connection(task)))
+        Ok((sender, Connection::new(task, opening, &self.counters)))
     }
 
     /// Connects to the target without sending a request.
@@ -274,6 +300,7 @@
             value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
         });
         if is_closing || sender.is_closed() {
+            connection.set_ending(Ending::Target);
             return;
         }
         let idle_since = Instant::now();
