mesh: end the calls of cancelled runs

When the caller of a run leaves, the node closed the connection to the target and left it to the target to give up its calls; calls that it still made were treated like requests of clients. The node now cancels the calls that the run has in progress through it. The target gets 504 for each, or 503 if no target can have got the call, and further calls of the run are refused as not run for 5 s. It is on where the settings name the contract pressure.

An id that two active runs share is not cancelled, since their calls can't be told apart; such an id now also stays traceable until the second run ends.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -5,6 +5,7 @@
 
 pub mod adapter;
 mod buffer;
+mod cancellation;
 mod cold;
 mod frame;
 mod front;
@@ -31,6 +32,7 @@
 use {
     adapter::{Directory, HeaderAdapter},
     buffer::Buffer,
+    cancellation::Cancellations,
     link::Links,
     metrics::Metrics,
     monsoon_lib::{
@@ -65,6 +67,7 @@
     /// Whether the facts were behind the store when this was last logged.
     is_behind: Cell<bool>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
+    cancellations: Cancellations,
     /// Whether a task starts queued calls at the rate that the target takes.
     is_pacing: Cell<bool>,
     last_call_number: Cell<u64>,
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -4,6 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
+        cancellation::RunGuard,
         frame::{PeerRequest, RunResult},
         target::ExchangeResult,
     },
@@ -25,7 +26,7 @@
         time::Instant,
         unit::RequestRate,
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::oneshot,
 };
 
@@ -78,12 +79,14 @@
 
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Runs a request on the node's own target and returns its result and the body of the response.
+    /// `is_sent` is set once the request is sent to the target.
     pub async fn run_locally(
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
+        is_sent: &Cell<bool>,
     ) -> (RunResult, Bytes) {
-        let outcome = self.run_through_gate(forwarded, request).await;
+        let outcome = self.run_through_gate(forwarded, request, is_sent).await;
         let (result, body) = match outcome {
             Ok((has_failed, answer)) => {
                 let Answer { status, fields, body } = answer;
@@ -99,6 +102,7 @@
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
+        is_sent: &Cell<bool>,
     ) -> Result<(bool, Answer), RunResult> {
         let now = clock::now();
         let own = self.node.borrow().own_target();
@@ -154,10 +158,13 @@
         let forwarded = ForwardedRequest { remaining, ..forwarded.clone() };
         self.metrics.sent_to_target();
         slot.is_sent = true;
+        is_sent.set(true);
+        let guard = RunGuard::new(self, &forwarded.request);
         let exchange = self
             .target
             .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
             .await;
+        guard.complete();
         if let ExchangeResult::Answered { answer: Answer { fields, .. }, .. }
         | ExchangeResult::Declined { fields, .. } = &exchange
         {
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -21,7 +21,13 @@
         mesh::node::ForwardedRequest,
         time::Instant,
     },
-    std::{cell::RefCell, collections::HashMap, net::IpAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::IpAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -212,7 +218,7 @@
 ) {
     let _open_request = link.mesh.track_request();
     forwarded.route = link.mesh.find_route(&request);
-    let (result, body) = link.mesh.run_locally(&forwarded, &request).await;
+    let (result, body) = link.mesh.run_locally(&forwarded, &request, &Cell::default()).await;
     link.runs.borrow_mut().remove(&number);
     let (response, supplement) = {
         let mut node = link.mesh.node.borrow_mut();
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -21,7 +21,7 @@
         },
         time::Instant,
     },
-    std::rc::Rc,
+    std::{cell::Cell, rc::Rc},
 };
 
 /// The outcome of a request for its caller.
@@ -48,17 +48,21 @@
         if !self.is_complete {
             let now = clock::now();
             let latency = now - self.started;
-            log::info!(
-                request = self.call.request.as_str(), target = self.attempt.target.as_str();
-                "caller disconnected, request cancelled"
-            );
-            self.mesh.node.borrow_mut().cancel_attempt(now, self.call, &self.attempt, latency);
+            let request = self.call.request.as_str();
+            let target = self.attempt.target.as_str();
+            let mut node = self.mesh.node.borrow_mut();
+            match node.is_call_of_cancelled_run(now, request) {
+                true => log::info!(request, target; "run cancelled, its call ended"),
+                false => log::info!(request, target; "caller disconnected, request cancelled"),
+            }
+            node.cancel_attempt(now, self.call, &self.attempt, latency);
         }
     }
 }
 
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
-    /// Relays a request until it succeeds or is refused. Dropping the future cancels the request.
+    /// Relays a request until it succeeds or is refused. Dropping the future cancels the request. A
+    /// call of a run is ended if the run is cancelled.
     pub async fn relay(self: &Rc<Self>, head: &Head, request: Request) -> Reply {
         let admitted = self.node.borrow_mut().admit(clock::now(), head);
         let mut call = match admitted {
@@ -72,19 +76,51 @@
                 return Reply::Refused(refusal);
             }
         };
+        let is_sent = Cell::new(false);
+        let run = self.node.borrow().run_to_watch(&head.request);
+        let Some(run) = run else {
+            return self.relay_call(head, &mut call, request, &is_sent).await;
+        };
+        let watch = self.cancellations.watch(run);
+        let cancelled = watch.cancelled();
+        let reply = tokio::select! {
+            // A call that waits in the own gate gets the slot of its run at the same moment. It must
+            // not start then.
+            biased;
+            () = cancelled => None,
+            reply = self.relay_call(head, &mut call, request, &is_sent) => Some(reply),
+        };
+        reply.unwrap_or_else(|| {
+            let refusal = self.node.borrow_mut().end_call(&call, is_sent.get());
+            self.log_refusal(head, &refusal, Some(&call), None);
+            Reply::Refused(refusal)
+        })
+    }
+
+    /// Relays an admitted request. `is_sent` tells whether the attempt in progress may have reached a
+    /// target.
+    async fn relay_call(
+        self: &Rc<Self>,
+        head: &Head,
+        call: &mut Call,
+        request: Request,
+        is_sent: &Cell<bool>,
+    ) -> Reply {
         let request = Rc::new(request);
         // The error response of a target. It is returned to the caller unless a retry succeeds.
         let mut failure = None;
         loop {
             let attempt = {
                 let unresponsive = self.links.unresponsive();
-                self.node.borrow_mut().next_attempt(clock::now(), &mut call, &unresponsive)
+                self.node.borrow_mut().next_attempt(clock::now(), call, &unresponsive)
             };
             let attempt = match attempt {
                 Ok(attempt) => attempt,
-                Err(refusal) => return self.finish(head, &call, failure, refusal),
+                Err(refusal) => return self.finish(head, call, failure, refusal),
             };
-            let (next, result, body) = self.send_attempt(&mut call, attempt, &request).await;
+            // Only the own gate tells when it sends a request on.
+            is_sent.set(!attempt.is_own);
+            let (next, result, body) = self.send_attempt(call, attempt, &request, is_sent).await;
             if let RunResult::Answered { status, fields, .. } = result {
                 failure = Some(Answer { status, fields, body });
             }
@@ -94,7 +130,7 @@
                     return Reply::Refused(Refusal::unknown(Reason::Broken));
                 }
                 (NextStep::Refuse(refusal), last) => {
-                    return self.finish(head, &call, last, refusal);
+                    return self.finish(head, call, last, refusal);
                 }
                 (NextStep::Resend, last) => failure = last,
             }
@@ -114,6 +150,7 @@
         call: &mut Call,
         attempt: Attempt,
         request: &Rc<Request>,
+        is_sent: &Cell<bool>,
     ) -> (NextStep, RunResult, Bytes) {
         let started = clock::now();
         let forwarded = self.node.borrow().forwarded_request(started, call, &attempt);
@@ -121,7 +158,7 @@
             InFlightAttempt { mesh: self, call, attempt, started, is_complete: false };
         let (result, body, loads) = match in_flight.attempt.is_own {
             true => {
-                let (result, body) = self.run_locally(&forwarded, request).await;
+                let (result, body) = self.run_locally(&forwarded, request, is_sent).await;
                 let mut node = self.node.borrow_mut();
                 let loads = node.reported_loads(clock::now(), forwarded.route.as_ref());
                 (result, body, Some(loads))
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -15,6 +15,7 @@
 pub mod lag;
 pub mod lease;
 pub mod lineage;
+pub mod linger;
 pub mod node;
 pub mod pace;
 pub mod position;
--- a/lib/src/mesh/lineage.rs
+++ b/lib/src/mesh/lineage.rs
@@ -5,7 +5,7 @@
 //! no active run is treated like a request from a client.
 
 use {
-    super::gate::Rank,
+    super::{gate::Rank, linger::CancelledRuns},
     crate::{id, pressure::Share, time::Instant},
     std::{
         collections::HashMap,
@@ -30,6 +30,11 @@
     hasher.finish() as f64 / u64::MAX as f64
 }
 
+/// Returns the id of the run that makes the call with this id, if the id of the call derives from one.
+pub fn run_of(call: &str) -> Option<&str> {
+    call.rsplit_once(SEPARATOR).map(|(run, _)| run)
+}
+
 /// The properties that a call inherits from the run that makes it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Lineage {
@@ -43,10 +48,18 @@
     pub route: Option<id::Route>,
 }
 
-/// The active runs of the local target, by request id.
+#[derive(Debug)]
+struct Run {
+    lineage: Lineage,
+    /// The number of active runs with this id. It is above 1 if a caller uses an id again.
+    count: usize,
+}
+
+/// The active runs of the local target, by request id, and those that were cancelled lately.
 #[derive(Debug, Default)]
 pub struct ActiveRuns {
-    runs: HashMap<String, Lineage>,
+    runs: HashMap<String, Run>,
+    cancelled: CancelledRuns,
     last_local_trace: Option<Instant>,
     last_remote_trace: Option<Instant>,
 }
@@ -54,18 +67,45 @@
 impl ActiveRuns {
     /// Records that a run starts.
     pub fn start(&mut self, request: &str, lineage: Lineage) {
-        self.runs.insert(request.to_owned(), lineage);
+        self.cancelled.remove(request);
+        match self.runs.get_mut(request) {
+            Some(run) => *run = Run { lineage, count: run.count + 1 },
+            None => _ = self.runs.insert(request.to_owned(), Run { lineage, count: 1 }),
+        }
     }
 
     /// Records that a run has ended.
     pub fn end(&mut self, request: &str) {
-        self.runs.remove(request);
+        let Some(run) = self.runs.get_mut(request) else { return };
+        run.count -= 1;
+        if run.count == 0 {
+            self.runs.remove(request);
+        }
+    }
+
+    /// Records that the caller of a run has left. Returns false, and does nothing, if the run is not
+    /// active or another one with the same id is, since calls can't be told apart then.
+    pub fn cancel(&mut self, now: Instant, request: &str) -> bool {
+        let is_single = self.runs.get(request).is_some_and(|run| run.count == 1);
+        if is_single {
+            self.cancelled.insert(now, request);
+        }
+        is_single
+    }
+
+    /// Returns whether a run with this id is active.
+    pub fn is_active(&self, request: &str) -> bool {
+        self.runs.contains_key(request)
+    }
+
+    /// Returns whether the run was cancelled lately.
+    pub fn is_cancelled(&self, now: Instant, request: &str) -> bool {
+        self.cancelled.contains(now, request)
     }
 
     /// Returns the lineage of the run that makes the call with this id, if it is active.
     pub fn parent_run(&mut self, now: Instant, call: &str) -> Option<Lineage> {
-        let (run, _) = call.rsplit_once(SEPARATOR)?;
-        let lineage = self.runs.get(run).cloned();
+        let lineage = self.runs.get(run_of(call)?).map(|run| run.lineage.clone());
         if lineage.is_some() {
             self.last_local_trace = Some(now);
         }
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod entry;
 mod facts;
+mod linger;
 mod peers;
 mod scarcity;
 mod weighted_round_robin;
@@ -94,6 +95,9 @@
     /// Whether client requests are refused at the entry while a pool below their route cannot carry
     /// them. The loads that this needs are then exchanged with other nodes.
     pub is_entry_admission_enabled: bool,
+    /// Whether the calls of a cancelled run are ended before the run, and its exchange with the
+    /// target may go on for a while so that the connection can be kept.
+    pub is_linger_enabled: bool,
 }
 
 /// The reasons why a node is not ready for requests of callers.
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -54,6 +54,9 @@
     ///
     /// Returns a refusal, marked as not run, if the request is not admitted.
     pub fn admit(&mut self, now: Instant, head: &Head) -> Result<Call, Refusal> {
+        if self.is_call_of_cancelled_run(now, &head.request) {
+            return Err(Refusal::not_run(Reason::Cancelled));
+        }
         let no_tables = Refusal::not_run(Reason::NoTables).after(NO_TABLES_RETRY_AFTER);
         let table = self.table.clone().ok_or(no_tables)?;
         let route = table.route(&head.host, &head.path);
--- a/lib/tests/mesh_evacuation.rs
+++ b/lib/tests/mesh_evacuation.rs
@@ -114,6 +114,7 @@
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
+        is_linger_enabled: false,
     };
     Node::new(settings, 1)
 }
--- a/lib/tests/mesh_pace.rs
+++ b/lib/tests/mesh_pace.rs
@@ -175,6 +175,7 @@
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
+        is_linger_enabled: false,
     };
     let mut node = Node::new(settings, 1);
     let position = Position::new(Era(0), Revision(1));
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -80,6 +80,7 @@
         resend_permille: 140,
         resend_window: ms(10_000),
         is_entry_admission_enabled: true,
+        is_linger_enabled: false,
     };
     let mut node = Node::new(settings, 1);
     let position = Position::new(Era(1), Revision(1));
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -91,6 +91,7 @@
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
+        is_linger_enabled: false,
     };
     let mut node = Node::new(settings, 1);
     let position = |revision| Position::new(Era(1), Revision(revision));
