mesh: let exchanges of cancelled runs go on for 150 ms

Each cancelled call closed its connection to the target, and the next call opened a new one, which costs about 1 ms of the target. Where the settings name the contract pressure, the exchange now goes on for up to 150 ms after its caller has left, in a task that owns the slot, and the connection is kept if the answer comes. The connection is closed at once if calls wait at the gate or begin to, the request is not idempotent or has a large body, the target is leaving or evacuated, or the run makes no calls and takes too long.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -9,6 +9,7 @@
 mod cold;
 mod frame;
 mod front;
+mod linger;
 mod link;
 mod metrics;
 mod own;
@@ -68,6 +69,8 @@
     is_behind: Cell<bool>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
     cancellations: Cancellations,
+    /// Notified when a call begins to wait at the gate, so that an exchange of a cancelled run ends.
+    call_queued: Notify,
     /// Whether a task starts queued calls at the rate that the target takes.
     is_pacing: Cell<bool>,
     last_call_number: Cell<u64>,
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -4,7 +4,6 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        cancellation::RunGuard,
         frame::{PeerRequest, RunResult},
         target::ExchangeResult,
     },
@@ -31,7 +30,7 @@
 };
 
 /// A slot in the gate, or a position in its queue. It is released on drop.
-struct SlotGuard<H: HeaderAdapter, D: Directory> {
+pub struct SlotGuard<H: HeaderAdapter, D: Directory> {
     mesh: Rc<Mesh<H, D>>,
     call: id::Call,
     request: String,
@@ -45,13 +44,22 @@
     is_declined: bool,
 }
 
+impl<H: HeaderAdapter, D: Directory> SlotGuard<H, D> {
+    /// Returns when the request was sent to the target.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+}
+
 impl<H: HeaderAdapter, D: Directory> Drop for SlotGuard<H, D> {
     fn drop(&mut self) {
         let now = clock::now();
         self.mesh.queued_calls.borrow_mut().remove(&self.call);
-        let latency = self.has_answer.then(|| now - self.started);
         let releases = {
             let mut node = self.mesh.node.borrow_mut();
+            // The answer of a cancelled run, whose calls were ended, tells nothing about other runs.
+            let has_answer = self.has_answer && !node.runs().is_cancelled(now, &self.request);
+            let latency = has_answer.then(|| now - self.started);
             if self.is_running {
                 node.runs().end(&self.request);
             }
@@ -63,7 +71,7 @@
                 node.record_run_end(now, &self.origin, end);
             }
             if !self.is_broken {
-                node.crash_tracker().call_ended(now, self.call, self.has_answer);
+                node.crash_tracker().call_ended(now, self.call, has_answer);
             }
             match self.is_running || !node.gate().cancel(self.call) {
                 true => node.gate().finish(now, self.call, latency),
@@ -159,12 +167,21 @@
         self.metrics.sent_to_target();
         slot.is_sent = true;
         is_sent.set(true);
-        let guard = RunGuard::new(self, &forwarded.request);
+        self.run_in_slot(slot, forwarded, request).await
+    }
+
+    /// Sends a request to the target and returns its answer. Dropping the future closes the
+    /// connection and releases the slot.
+    pub async fn exchange(
+        self: &Rc<Self>,
+        mut slot: SlotGuard<H, D>,
+        forwarded: &ForwardedRequest,
+        request: &Rc<Request>,
+    ) -> Result<(bool, Answer), RunResult> {
         let exchange = self
             .target
-            .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
+            .run(&self.header_adapter, forwarded, request, forwarded.is_idempotent)
             .await;
-        guard.complete();
         if let ExchangeResult::Answered { answer: Answer { fields, .. }, .. }
         | ExchangeResult::Declined { fields, .. } = &exchange
         {
@@ -258,6 +275,7 @@
     ) -> Result<(), RunResult> {
         let (sender, release) = oneshot::channel();
         self.queued_calls.borrow_mut().insert(call, sender);
+        self.call_queued.notify_one();
         self.start_pacing();
         match tokio::time::timeout(timeout, release).await {
             Ok(Ok(Release::Run(_))) => Ok(()),
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -111,6 +111,7 @@
         is_behind: Cell::default(),
         queued_calls: RefCell::default(),
         cancellations: Cancellations::default(),
+        call_queued: Notify::new(),
         is_pacing: Cell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
--- a/lib/src/mesh/gate.rs
+++ b/lib/src/mesh/gate.rs
@@ -303,6 +303,11 @@
         self.queue.len()
     }
 
+    /// Returns the mean time of calls at the present pace of the target.
+    pub fn mean_time(&self, now: Instant) -> Duration {
+        Duration::from_secs_f64(self.pace.latency_s(now))
+    }
+
     /// Returns the load report for other nodes. A limit or bound on requests per second is reported as
     /// the number of concurrent calls that it amounts to.
     pub fn report(&self, now: Instant) -> pressure::Report {
@@ -314,7 +319,7 @@
             in_flight: (self.running.len() + self.queue.len()) as u32,
             limit: self.concurrency_limit().min(by_rate).max(1) as u32,
             queue_delay,
-            latency: Duration::from_secs_f64(self.pace.latency_s(now)),
+            latency: self.mean_time(now),
             retry_after: self.retry_after(now),
             slices: Vec::new(),
         }
--- a/lib/src/mesh/node/linger.rs
+++ b/lib/src/mesh/node/linger.rs
@@ -2,12 +2,16 @@
 //! enable it.
 
 use {
-    super::{Call, Node},
+    super::{Call, ForwardedRequest, Node},
     crate::{
         call::{Reason, Refusal},
-        mesh::lineage,
+        mesh::{
+            lineage,
+            linger::{self, Run},
+        },
         time::Instant,
     },
+    std::time::Duration,
 };
 
 impl Node {
@@ -17,6 +21,30 @@
         self.settings.is_linger_enabled && self.runs.cancel(now, request)
     }
 
+    /// Returns how much longer the exchange of a cancelled run with the local target may go on, or
+    /// `None` if the connection is to be closed now.
+    pub fn linger(
+        &self,
+        now: Instant,
+        (started, cancelled): (Instant, Instant),
+        forwarded: &ForwardedRequest,
+        body_bytes: usize,
+    ) -> Option<Duration> {
+        let route = forwarded.route.as_ref();
+        let is_target_leaving = self.fleet.leaving_since(&forwarded.target).is_some();
+        let run = Run {
+            started,
+            cancelled,
+            is_idempotent: forwarded.is_idempotent,
+            body_bytes,
+            makes_calls: route.is_some_and(|route| self.tracker.has_callees(now, route)),
+            mean_time: self.gate.mean_time(now),
+            waiting: self.gate.waiting(),
+            is_leaving: self.is_leaving || is_target_leaving || self.gate.is_evacuated(),
+        };
+        linger::decide(now, &run)
+    }
+
     /// Returns the run that makes the call with this id, if the call is to be ended with it.
     pub fn run_to_watch<'a>(&self, call: &'a str) -> Option<&'a str> {
         let run = lineage::run_of(call).filter(|_| self.settings.is_linger_enabled)?;
--- a/lib/src/mesh/scarcity/tracker.rs
+++ b/lib/src/mesh/scarcity/tracker.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns whether runs of the route made calls lately.
+    pub fn has_callees(&self, now: Instant, route: &id::Route) -> bool {
+        let callees = self.callees.get(route);
+        callees.is_some_and(|callees| callees.iter().any(|(_, last)| now - *last < CALLEE_TTL))
+    }
+
     /// Records the loads that came with a response. A pool that is not mentioned is not under
     /// pressure. `has_run` is whether the request ran, since otherwise the sender need not know
     /// anything about the pools below its own.
--- a/lib/tests/mesh_linger.rs
+++ b/lib/tests/mesh_linger.rs
@@ -1,13 +1,16 @@
-//! Tests of cancelled runs.
+//! Tests of cancelled runs and of how long their exchanges go on.
 
-use monsoon_lib::{
-    mesh::{
-        gate::Rank,
-        lineage::{ActiveRuns, Lineage},
-        linger::CancelledRuns,
+use {
+    monsoon_lib::{
+        mesh::{
+            gate::Rank,
+            lineage::{ActiveRuns, Lineage},
+            linger::{CancelledRuns, Run, decide},
+        },
+        pressure::Share,
+        time::Instant,
     },
-    pressure::Share,
-    time::Instant,
+    std::time::Duration,
 };
 
 fn at(ms: u64) -> Instant {
@@ -62,3 +65,53 @@
     runs.insert(at(5_002), "last");
     assert_eq!(runs.len(), 1);
 }
+
+/// A run of 40 ms whose caller left after 10 ms.
+const RUN: Run = Run {
+    started: Instant::from_millis(1_000),
+    cancelled: Instant::from_millis(1_010),
+    is_idempotent: true,
+    body_bytes: 0,
+    makes_calls: false,
+    mean_time: Duration::from_millis(40),
+    waiting: 0,
+    is_leaving: false,
+};
+
+fn left_ms(now_ms: u64, run: &Run) -> Option<u128> {
+    decide(at(now_ms), run).map(|left| left.as_millis())
+}
+
+/// Targets could go on working for callers that left long ago.
+#[test]
+fn bounded_time() {
+    assert_eq!(left_ms(1_010, &RUN), Some(150));
+    assert_eq!(left_ms(1_100, &RUN), Some(60), "another call has begun to wait and was refused");
+    assert_eq!(left_ms(1_160, &RUN), None);
+}
+
+/// A slot could be kept from a call, or a run go on that should not.
+#[test]
+fn closed_at_once() {
+    let closed = [
+        Run { waiting: 1, ..RUN },
+        Run { is_idempotent: false, ..RUN },
+        Run { is_leaving: true, ..RUN },
+        Run { body_bytes: (64 << 10) + 1, ..RUN },
+    ];
+    for run in closed {
+        assert_eq!(left_ms(1_010, &run), None, "{run:?}");
+    }
+}
+
+/// A run that computes for long would hold its slot although its connection is closed in the end;
+/// one that waits for its calls ends soon, since these were ended.
+#[test]
+fn long_run() {
+    let run = Run { mean_time: Duration::from_millis(161), ..RUN };
+    assert_eq!(left_ms(1_010, &run), None);
+    assert_eq!(left_ms(1_010, &Run { makes_calls: true, ..run }), Some(150));
+    let run = Run { mean_time: Duration::from_millis(160), ..RUN };
+    assert_eq!(left_ms(1_010, &run), Some(150));
+    assert_eq!(left_ms(1_159, &run), Some(1), "the time that is left shrinks like the limit");
+}
