--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -5,10 +5,12 @@
 
 pub mod adapter;
 mod buffer;
+mod cancellation;
 mod cause;
 mod cold;
 mod frame;
 mod front;
+mod linger;
 mod link;
 mod metrics;
 mod own;
@@ -32,6 +34,7 @@
 use {
     adapter::{Directory, HeaderAdapter},
     buffer::Buffer,
+    cancellation::Cancellations,
     link::Links,
     metrics::Metrics,
     monsoon_lib::{
@@ -66,6 +69,9 @@
     /// Whether the facts were behind the store when this was last logged.
     is_behind: Cell<bool>,
     queued_calls: RefCell<HashMap<id::Call, oneshot::Sender<Release>>>,
+    cancellations: Cancellations,
+    /// Notified when a call begins to wait at the gate, so that an exchange of a cancelled run ends.
+    call_queued: Notify,
     /// Whether a task starts queued calls at the rate that the target takes.
     is_pacing: Cell<bool>,
     last_call_number: Cell<u64>,
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -5,7 +5,7 @@
         Mesh,
         adapter::{Directory, HeaderAdapter},
         cause::Cause,
-        scarcity,
+        scarcity, target,
     },
     crate::clock,
     monsoon_lib::{
@@ -82,6 +82,7 @@
     entry_refused: IntCounterVec,
     pool_loads: scarcity::Gauges,
     resends: Resends,
+    connections: target::Counters,
     target_pace: IntGauge,
     concurrency_limit: IntGauge,
     target_cold: IntGauge,
@@ -172,6 +173,7 @@
         registry.register(Box::new(entry_refused.clone()))?;
         let pool_loads = scarcity::Gauges::new(&registry)?;
         let resends = Resends::new(&registry)?;
+        let connections = target::Counters::new(&registry)?;
         Ok(Self {
             registry,
             answered,
@@ -190,6 +192,7 @@
             entry_refused,
             pool_loads,
             resends,
+            connections,
             target_pace,
             concurrency_limit,
             target_cold,
@@ -210,6 +213,11 @@
         self.sent_to_target.inc();
     }
 
+    /// Returns the counters of the connections to the own target.
+    pub fn connections(&self) -> &target::Counters {
+        &self.connections
+    }
+
     /// Counts a client's request that was refused because a pool below its route cannot carry it.
     pub fn refused_at_entry(&self, pool: &id::Pool) {
         self.entry_refused.with_label_values(&[pool.as_str()]).inc();
--- a/daemon/src/mesh/own.rs
+++ b/daemon/src/mesh/own.rs
@@ -26,12 +26,27 @@
         time::Instant,
         unit::RequestRate,
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::oneshot,
 };
 
+/// Why a request has no answer of the own target.
+#[derive(Debug)]
+pub struct Failure {
+    /// The result for the node that sent the request.
+    pub result: RunResult,
+    /// Why the outcome is unknown, if it is.
+    pub cause: Option<Cause>,
+}
+
+impl From<RunResult> for Failure {
+    fn from(result: RunResult) -> Self {
+        Self { result, cause: None }
+    }
+}
+
 /// A slot in the gate, or a position in its queue. It is released on drop.
-struct SlotGuard<H: HeaderAdapter, D: Directory> {
+pub struct SlotGuard<H: HeaderAdapter, D: Directory> {
     mesh: Rc<Mesh<H, D>>,
     call: id::Call,
     request: String,
@@ -45,13 +60,22 @@
     is_declined: bool,
 }
 
+impl<H: HeaderAdapter, D: Directory> SlotGuard<H, D> {
+    /// Returns when the request was sent to the target.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+}
+
 impl<H: HeaderAdapter, D: Directory> Drop for SlotGuard<H, D> {
     fn drop(&mut self) {
         let now = clock::now();
         self.mesh.queued_calls.borrow_mut().remove(&self.call);
-        let latency = self.has_answer.then(|| now - self.started);
         let releases = {
             let mut node = self.mesh.node.borrow_mut();
+            // The answer of a cancelled run, whose calls were ended, tells nothing about other runs.
+            let has_answer = self.has_answer && !node.runs().is_cancelled(now, &self.request);
+            let latency = has_answer.then(|| now - self.started);
             if self.is_running {
                 node.runs().end(&self.request);
             }
@@ -63,7 +87,7 @@
                 node.record_run_end(now, &self.origin, end);
             }
             if !self.is_broken {
-                node.crash_tracker().call_ended(now, self.call, self.has_answer);
+                node.crash_tracker().call_ended(now, self.call, has_answer);
             }
             match self.is_running || !node.gate().cancel(self.call) {
                 true => node.gate().finish(now, self.call, latency),
@@ -79,20 +103,20 @@
 
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Runs a request on the node's own target and returns its result, the body of the response, and
-    /// why the outcome is unknown, if it is.
+    /// why the outcome is unknown, if it is. `is_sent` is set once the request is sent to the target.
     pub async fn run_locally(
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
+        is_sent: &Cell<bool>,
     ) -> (RunResult, Bytes, Option<Cause>) {
-        let mut cause = None;
-        let outcome = self.run_through_gate(forwarded, request, &mut cause).await;
-        let (result, body) = match outcome {
+        let outcome = self.run_through_gate(forwarded, request, is_sent).await;
+        let (result, body, cause) = match outcome {
             Ok((has_failed, answer)) => {
                 let Answer { status, fields, body } = answer;
-                (RunResult::Answered { has_failed, status, fields }, body)
+                (RunResult::Answered { has_failed, status, fields }, body, None)
             }
-            Err(result) => (result, Bytes::new()),
+            Err(Failure { result, cause }) => (result, Bytes::new(), cause),
         };
         self.log_result(forwarded, &result);
         (result, body, cause)
@@ -102,12 +126,12 @@
         self: &Rc<Self>,
         forwarded: &ForwardedRequest,
         request: &Rc<Request>,
-        unknown_cause: &mut Option<Cause>,
-    ) -> Result<(bool, Answer), RunResult> {
+        is_sent: &Cell<bool>,
+    ) -> Result<(bool, Answer), Failure> {
         let now = clock::now();
         let own = self.node.borrow().own_target();
         if own.as_ref().is_some_and(|own| *own != forwarded.target) {
-            return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
+            return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)).into());
         }
         let call = self.next_call_id();
         let origin = forwarded.origin();
@@ -132,18 +156,18 @@
         match decision {
             Decision::Run => {}
             Decision::Queued(until) => self.wait_for_slot(call, until - now).await?,
-            Decision::Refused(wait) => return Err(self.gate_refusal(wait)),
+            Decision::Refused(wait) => return Err(self.gate_refusal(wait).into()),
         }
         slot.is_running = true;
         if self.node.borrow_mut().gate().is_evacuated() {
             // The evacuation began after the queue had released the call.
-            return Err(self.gate_refusal(NO_TARGET_RETRY_AFTER));
+            return Err(self.gate_refusal(NO_TARGET_RETRY_AFTER).into());
         }
         if self.node.borrow().is_closed(clock::now(), &forwarded.target) {
-            return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)));
+            return Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)).into());
         }
         if let Err(refusal) = self.node.borrow_mut().crash_tracker().check(forwarded.fingerprint) {
-            return Err(RunResult::Refused(refusal));
+            return Err(RunResult::Refused(refusal).into());
         }
         self.node.borrow_mut().crash_tracker().call_started(call, forwarded.fingerprint);
         let lineage = Lineage {
@@ -158,23 +182,38 @@
         let forwarded = ForwardedRequest { remaining, ..forwarded.clone() };
         self.metrics.sent_to_target();
         slot.is_sent = true;
+        is_sent.set(true);
+        self.run_in_slot(slot, forwarded, request).await
+    }
+
+    /// Sends a request to the target and returns its answer. Dropping the future closes the
+    /// connection and releases the slot.
+    pub async fn exchange(
+        self: &Rc<Self>,
+        mut slot: SlotGuard<H, D>,
+        forwarded: &ForwardedRequest,
+        request: &Rc<Request>,
+    ) -> Result<(bool, Answer), Failure> {
         let exchange = self
             .target
-            .run(&self.header_adapter, &forwarded, request, forwarded.is_idempotent)
+            .run(&self.header_adapter, forwarded, request, forwarded.is_idempotent)
             .await;
         if let ExchangeResult::Answered { answer: Answer { fields, .. }, .. }
         | ExchangeResult::Declined { fields, .. } = &exchange
         {
             self.record_announcement(&forwarded.target, fields);
         }
-        slot.is_broken = matches!(&exchange, ExchangeResult::MayHaveRun(cause, _) if cause.reason() == Reason::Broken);
+        slot.is_broken = matches!(
+            &exchange,
+            ExchangeResult::MayHaveRun(cause, _) if cause.reason() == Reason::Broken
+        );
         slot.is_declined = matches!(exchange, ExchangeResult::Declined { .. });
         match exchange {
             ExchangeResult::Answered { has_failed, answer } => {
                 slot.has_answer = true;
                 Ok((has_failed, answer))
             }
-            ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal)),
+            ExchangeResult::Declined { refusal, .. } => Err(RunResult::Declined(refusal).into()),
             ExchangeResult::Unreachable(error) => {
                 // Otherwise it would count as a run that held its slot for no time.
                 slot.is_sent = false;
@@ -183,19 +222,19 @@
                     request = forwarded.request.as_str(), error:% = error;
                     "can't send the request to the target"
                 );
-                Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)))
+                Err(RunResult::Refused(Refusal::not_run(Reason::NoTarget)).into())
             }
             ExchangeResult::Expired => {
                 slot.is_sent = false;
-                Err(RunResult::Refused(Refusal::not_run(Reason::Deadline)))
+                Err(RunResult::Refused(Refusal::not_run(Reason::Deadline)).into())
             }
             ExchangeResult::MayHaveRun(cause, error) => {
                 log::warn!(
                     request = forwarded.request.as_str(), cause = error.as_str();
                     "no complete response from the target"
                 );
-                *unknown_cause = Some(cause);
-                Err(RunResult::MayHaveRun(cause.reason()))
+                let result = RunResult::MayHaveRun(cause.reason());
+                Err(Failure { result, cause: Some(cause) })
             }
         }
     }
@@ -260,6 +299,7 @@
     ) -> Result<(), RunResult> {
         let (sender, release) = oneshot::channel();
         self.queued_calls.borrow_mut().insert(call, sender);
+        self.call_queued.notify_one();
         self.start_pacing();
         match tokio::time::timeout(timeout, release).await {
             Ok(Ok(Release::Run(_))) => Ok(()),
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -5,6 +5,7 @@
         Mesh,
         adapter::{Directory, HeaderAdapter},
         buffer::Buffer,
+        cancellation::Cancellations,
         frame::PeerRequest,
         front::{self, ListenerKind},
         link::Links,
@@ -97,17 +98,20 @@
     let peers_listener = bind_listener("peers", settings.peer_address).await?;
     let readiness = bind_listener("readiness", settings.readiness_address).await?;
     let data_centre = settings.node.data_centre.clone();
+    let metrics = Metrics::new()?;
     let mesh = Rc::new(Mesh {
         links: Links::new(settings.node.host, settings.peer_address.port(), data_centre),
-        target: Target::new(settings.node.target),
+        target: Target::new(settings.node.target, metrics.connections().clone()),
         node: RefCell::new(Node::new(settings.node, rand::random())),
         header_adapter,
         directory,
-        metrics: Metrics::new()?,
+        metrics,
         buffer: Buffer::for_requests(),
         last_readiness: Cell::new(Ok(())),
         is_behind: Cell::default(),
         queued_calls: RefCell::default(),
+        cancellations: Cancellations::default(),
+        call_queued: Notify::new(),
         is_pacing: Cell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -1,7 +1,10 @@
 //! The pool of HTTP/1.1 connections to the node's own target. Each carries one request at a time.
 
+mod connection;
 mod stream;
 
+pub use connection::Counters;
+
 use {
     super::{
         adapter::{HeaderAdapter, Health, ResponseVerdict},
@@ -11,6 +14,7 @@
     },
     crate::http::message::{Answer, Field, Request, end_to_end_fields},
     bytes::{Bytes, BytesMut},
+    connection::{Connection, Ending, Opening},
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::{
         HeaderMap, Method, Response, Uri,
@@ -21,8 +25,8 @@
     hyper_util::rt::TokioIo,
     monsoon_lib::{call::Refusal, mesh::node::ForwardedRequest},
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
-    stream::{Exchange, Stream},
-    tokio::{task::JoinHandle, time::Instant},
+    stream::Stream,
+    tokio::time::Instant,
 };
 
 /// The largest response body that is accepted from a target, in bytes. A target in trouble may send
@@ -79,15 +83,13 @@
     idle_since: Instant,
 }
 
-/// The task that drives a connection. Dropping it closes the connection.
-struct Connection {
-    task: JoinHandle<()>,
-    exchange: Rc<Exchange>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
+impl IdleConnection {
+    /// Returns how the connection has ended, unless it can still be used.
+    fn ending(&self, now: Instant) -> Option<Ending> {
+        match self.sender.is_closed() {
+            true => Some(Ending::Target),
+            false => (self.expires_at <= now).then_some(Ending::Expired),
+        }
     }
 }
 
@@ -96,12 +98,13 @@
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
     buffer: Buffer,
+    counters: Counters,
 }
 
 impl Target {
     /// Creates an empty pool for the target at `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default(), buffer: Buffer::for_responses() }
+    pub fn new(address: SocketAddr, counters: Counters) -> Self {
+        Self { address, idle: RefCell::default(), buffer: Buffer::for_responses(), counters }
     }
 
     /// Returns the number of bytes of response bodies that are being received.
@@ -112,12 +115,18 @@
     /// Closes connections that have been idle for too long or were closed by the target.
     pub fn evict_expired(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        self.idle.borrow_mut().retain(|idle| {
+            let ending = idle.ending(now);
+            ending.into_iter().for_each(|ending| idle.connection.set_ending(ending));
+            ending.is_none()
+        });
     }
 
     /// Closes all idle connections.
     pub fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
+        for idle in self.idle.borrow_mut().drain(..) {
+            idle.connection.set_ending(Ending::Expired);
+        }
     }
 
     /// Runs a request. Dropping the future closes the connection, on which the target aborts it.
@@ -150,7 +159,10 @@
         let sent_at = Instant::now();
         let response = match tokio::time::timeout(timeout, response_future).await {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => return exchange.fail(Cause::TargetBroke, error.to_string()),
+            Ok(Err(error)) => {
+                connection.set_ending(Ending::Broken);
+                return exchange.fail(Cause::TargetBroke, error.to_string());
+            }
             Err(_) => return exchange.fail(Cause::TargetDeadline, "response timed out".into()),
         };
         let headers = response.headers().clone();
@@ -158,16 +170,22 @@
         let remaining = timeout.saturating_sub(sent_at.elapsed());
         let body = match tokio::time::timeout(remaining, self.read_body(response)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return ExchangeResult::MayHaveRun(Cause::TargetBroke, error),
+            Ok(Err(error)) => {
+                connection.set_ending(Ending::Broken);
+                return ExchangeResult::MayHaveRun(Cause::TargetBroke, error);
+            }
             Err(_) => {
                 return ExchangeResult::MayHaveRun(Cause::TargetDeadline, "body timed out".into());
             }
         };
         match header_adapter.classify_response(&forwarded.request, status, &headers) {
-            ResponseVerdict::Mismatched => ExchangeResult::MayHaveRun(
-                Cause::MismatchedResponse,
-                format!("mismatched response with status {status}"),
-            ),
+            ResponseVerdict::Mismatched => {
+                connection.set_ending(Ending::Broken);
+                ExchangeResult::MayHaveRun(
+                    Cause::MismatchedResponse,
+                    format!("mismatched response with status {status}"),
+                )
+            }
             ResponseVerdict::NotExecuted(refusal) => {
                 self.return_to_pool(sender, connection, &headers);
                 let fields = end_to_end_fields(&headers, |_| true);
@@ -202,6 +220,7 @@
         is_idempotent: bool,
     ) -> io::Result<(SendRequest<Full<Bytes>>, Connection)> {
         let now = Instant::now();
+        let mut opening = Opening::NoneIdle;
         // The most recently used connection is the least likely to have been closed by the target.
         while let Some(idle) = self.idle.borrow_mut().pop() {
             let is_safe = is_idempotent || now - idle.idle_since < NON_IDEMPOTENT_MAX_IDLE;
@@ -209,6 +228,9 @@
                 idle.connection.exchange.begin();
                 return Ok((idle.sender, idle.connection));
             }
+            let is_closed = !idle.sender.is_ready();
+            idle.connection.set_ending(if is_closed { Ending::Target } else { Ending::Expired });
+            opening = Opening::Expired;
         }
         let stream = Stream::new(socket::connect(self.address).await?);
         let exchange = stream.exchange();
@@ -222,7 +244,7 @@
                 log::debug!(error:% = error; "connection to the target closed");
             }
         });
-        Ok((sender, Connection { task, exchange }))
+        Ok((sender, Connection::new(task, exchange, opening, &self.counters)))
     }
 
     /// Connects to the target without sending a request.
@@ -288,6 +310,7 @@
             value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
         });
         if is_closing || sender.is_closed() {
+            connection.set_ending(Ending::Target);
             return;
         }
         let idle_since = Instant::now();
--- a/lib/tests/deployment/mod.rs
+++ b/lib/tests/deployment/mod.rs
@@ -79,6 +79,7 @@
         resend_permille: 140,
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
+        is_linger_enabled: false,
     }
 }
 
