--- a/lib/src/mesh/resend.rs
+++ b/lib/src/mesh/resend.rs
@@ -11,7 +11,7 @@
 //! if all of them do. See part A of docs/design/declining-pools.md.
 
 use {
-    super::scarcity::Class,
+    super::scarcity::{Class, MAX_CLASSES},
     crate::{retry::Window, time::Instant},
     serde::Serialize,
     std::{collections::BTreeMap, time::Duration},
@@ -47,8 +47,6 @@
 /// a fraction of the need of urgent ones. Without it, they use all random excess of the budget and
 /// urgent requests suffer from random lack.
 const PACED_MARGIN: f64 = 0.05;
-/// The largest number of classes that are told apart. Tables have a few ranks of accounts and routes.
-const MAX_CLASSES: usize = 64;
 
 /// A request to be resent.
 #[derive(Clone, Copy, Debug)]
