--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -234,6 +234,11 @@
         Ok(index)
     }
 
+    /// Sets the executable of nodes that are started or restarted from now on.
+    pub fn set_program(&mut self, program: &Path) {
+        self.program = program.into();
+    }
+
     fn spawn(&self, settings: &Path, log: &Path) -> io::Result<Child> {
         let out = File::options().create(true).append(true).open(log)?;
         Command::new(&self.program)
