testutils/soak: the last pool declines 55 % for 8 s

The soak counted repeats over the whole run only, so that a burst of resends within one window of the platform went unseen, and no fault made a pool decline a part of its requests.

--declines makes all servers of the last pool that have no other fault decline 55 % for 8 s. In all soaks, the resends at each pool in each window of 10 s that begins with a resend are at most 0.2 of its requests plus 48, where the requests are those of the window, the one before or the one 5 s before, whichever has the most. The check over the whole run stays.

--- a/testutils/src/bin/monsoon-soak.rs
+++ b/testutils/src/bin/monsoon-soak.rs
@@ -27,6 +27,9 @@
     /// also play evacuations of zones
     #[argh(switch)]
     evacuations: bool,
+    /// also play times in which the last pool declines a part of its requests
+    #[argh(switch)]
+    declines: bool,
     /// a directory for the logs of seeds with violations
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -38,6 +41,7 @@
     let plan = soak::Plan {
         is_cold_enabled: arguments.cold,
         is_evacuation_enabled: arguments.evacuations,
+        is_decline_enabled: arguments.declines,
     };
     let mut failed = 0;
     for seed in arguments.from..arguments.from + arguments.count {
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -1,6 +1,8 @@
 //! An application server with slots. It never answers a request that finds no free slot.
 
 use {
+    rand::{RngExt as _, SeedableRng as _},
+    rand_chacha::ChaCha8Rng,
     std::{
         io,
         net::SocketAddr,
@@ -32,6 +34,8 @@
     Fails,
     /// Answers with status 503 and declares the request not executed.
     Sheds,
+    /// Declines this percentage of the requests as [`Behaviour::Sheds`] does, and executes the others.
+    Declines(u32),
     /// Resets the connection after the service time.
     Resets,
     /// Closes the connection before the end of the answer's body.
@@ -90,6 +94,8 @@
     /// How long it is cold after a crash.
     cold_start: Duration,
     runs: Vec<Run>,
+    /// Chooses the requests that are declined.
+    random: ChaCha8Rng,
 }
 
 struct Shared {
@@ -123,6 +129,8 @@
     /// Returns the error of the system when the address can't be bound.
     pub async fn start(address: SocketAddr, id: &str, slots: usize) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let seed =
+            id.bytes().fold(0, |seed: u64, byte| seed.wrapping_mul(31).wrapping_add(byte.into()));
         let state = State {
             behaviour: Behaviour::Normal,
             is_healthy: true,
@@ -131,6 +139,7 @@
             cold_until: Instant::now(),
             cold_start: Duration::ZERO,
             runs: Vec::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
         };
         let shared = Arc::new(Shared {
             id: id.into(),
@@ -315,11 +324,17 @@
             format!("HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         return stream.write_all(head.as_bytes()).await.ok();
     }
-    let (behaviour, service_time) = {
-        let state = shared.state.lock().expect("the server's state");
-        (state.behaviour, state.service_time)
+    let (behaviour, service_time, is_declined) = {
+        let mut state = shared.state.lock().expect("the server's state");
+        let behaviour = state.behaviour;
+        let is_declined = match behaviour {
+            Behaviour::Sheds => true,
+            Behaviour::Declines(percent) => state.random.random_ratio(percent, 100),
+            _ => false,
+        };
+        (behaviour, state.service_time, is_declined)
     };
-    if behaviour == Behaviour::Sheds {
+    if is_declined {
         record(shared, run);
         let head = format!(
             "HTTP/1.1 503 Full\r\n{}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
@@ -380,9 +395,11 @@
         )
     };
     let bytes = match behaviour {
-        Behaviour::Normal | Behaviour::Sheds | Behaviour::Rejects | Behaviour::NeverReads => {
-            response("200 OK", id)
-        }
+        Behaviour::Normal
+        | Behaviour::Sheds
+        | Behaviour::Declines(_)
+        | Behaviour::Rejects
+        | Behaviour::NeverReads => response("200 OK", id),
         Behaviour::Fails => response("500 Failed", id),
         Behaviour::WrongId => response("200 OK", "another"),
         Behaviour::ExtraAnswer => response("200 OK", id) + &response("200 OK", "extra"),
--- a/testutils/src/mesh/soak/audit.rs
+++ b/testutils/src/mesh/soak/audit.rs
@@ -3,6 +3,7 @@
 pub mod cold;
 pub mod disturbance;
 pub mod evacuation;
+pub mod resends;
 
 use {
     super::{LIMITED_RATE, PERMANENT_KEY},
@@ -23,9 +24,6 @@
 /// The most runs in one window: the rate and the burst, plus a quarter and 20 requests of
 /// tolerance.
 const MAX_RUNS_IN_WINDOW: u64 = (LIMITED_RATE * 5 + LIMITED_RATE) * 5 / 4 + 20;
-/// The most repeated arrivals of requests: a share of all requests plus a constant.
-const MAX_REPEAT_SHARE: f64 = 0.2;
-const REPEAT_TOLERANCE: f64 = 48.0;
 /// The most time from an answer that says that its server is leaving until the machine that passed it
 /// on sends that server no more requests (`drain_ms`).
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
@@ -197,6 +195,7 @@
         }
         violations.extend(self.check_rate(&arrivals));
         violations.extend(self.check_repeats(&arrivals));
+        violations.extend(self.check_resends(&arrivals));
         violations.extend(self.check_key_order(&arrivals));
         violations.extend(self.check_departures(&arrivals));
         violations.extend(self.check_limits(deployment));
@@ -278,11 +277,26 @@
 
     fn check_repeats(&self, arrivals: &BTreeMap<String, Vec<Run>>) -> Option<String> {
         let repeats: usize = arrivals.values().map(|runs| runs.len() - 1).sum();
-        let bound = self.sent.len() as f64 * MAX_REPEAT_SHARE + REPEAT_TOLERANCE;
+        let bound = self.sent.len() as f64 * resends::MAX_SHARE + resends::SLACK;
         (repeats as f64 > bound)
             .then(|| format!("{repeats} repeated arrivals, at most {bound} allowed"))
     }
 
+    /// Checks the resends at each pool in each window.
+    fn check_resends(&self, arrivals: &BTreeMap<String, Vec<Run>>) -> Vec<String> {
+        let mut violations = Vec::new();
+        for (pool, is_idempotent) in [("desk", true), ("office", false)] {
+            let sent = self.sent.iter().filter(|sent| sent.is_idempotent == is_idempotent);
+            let mut pool_audit = resends::Audit::default();
+            for request in sent {
+                let runs = arrivals.get(&request.id).into_iter().flatten();
+                pool_audit.record(request.at, runs.map(|run| run.at).collect());
+            }
+            violations.extend(pool_audit.check(pool));
+        }
+        violations
+    }
+
     /// Checks that a node process that has accepted a new key accepts no older key, which was
     /// withdrawn at the same time.
     fn check_key_order(&self, arrivals: &BTreeMap<String, Vec<Run>>) -> Vec<String> {
--- a/testutils/src/mesh/soak/plan.rs
+++ b/testutils/src/mesh/soak/plan.rs
@@ -10,6 +10,8 @@
     pub is_cold_enabled: bool,
     /// Whether the operator evacuates zones.
     pub is_evacuation_enabled: bool,
+    /// Whether the last pool declines a part of its requests for some time.
+    pub is_decline_enabled: bool,
 }
 
 /// A fault of a plan.
@@ -19,6 +21,8 @@
     Cold,
     /// A zone is evacuated.
     Evacuation,
+    /// The last pool declines a part of its requests.
+    Decline,
 }
 
 impl Plan {
@@ -29,6 +33,8 @@
         let evacuations = if self.is_evacuation_enabled { 2 } else { 0 };
         let mut planned = vec![Planned::Cold; cold];
         planned.extend(vec![Planned::Evacuation; evacuations]);
+        let declines = if self.is_decline_enabled { 2 } else { 0 };
+        planned.extend(vec![Planned::Decline; declines]);
         planned
     }
 
--- a/testutils/src/mesh/soak/schedule.rs
+++ b/testutils/src/mesh/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Injects the faults of a seed, which may overlap.
 
 mod cold;
+mod decline;
 mod evacuation;
 
 use {
@@ -52,6 +53,7 @@
     RestoreServer(usize),
     LiftLimit(usize),
     Warm(usize),
+    EndDecline(usize),
     TakeBack(String),
 }
 
@@ -74,6 +76,8 @@
     limited: Vec<bool>,
     /// Whether the server of each machine is cold.
     cold: Vec<bool>,
+    /// Whether the server of each machine declines a part of its requests.
+    declining: Vec<bool>,
     /// The zones that are evacuated.
     evacuated: BTreeSet<String>,
     plan: Plan,
@@ -102,6 +106,7 @@
             draining: vec![false; count],
             limited: vec![false; count],
             cold: vec![false; count],
+            declining: vec![false; count],
             evacuated: BTreeSet::new(),
             plan,
             log: Vec::new(),
@@ -165,6 +170,7 @@
             kind @ 12.. => match planned[kind - 12] {
                 Planned::Cold => self.chill(machine),
                 Planned::Evacuation => self.evacuate(machine),
+                Planned::Decline => self.decline(),
             },
             0 => self.signal(machine, Signal::SIGTERM),
             1 => self.signal(machine, Signal::SIGKILL),
@@ -344,14 +350,17 @@
             Event::Register(machine) if !self.cut[machine] => {
                 let server = &self.deployment.machines[machine].server;
                 server.set_healthy(true);
-                server.set_behaviour(Behaviour::Normal, SERVICE_TIME);
+                if !self.declining[machine] {
+                    server.set_behaviour(Behaviour::Normal, SERVICE_TIME);
+                }
                 if std::mem::replace(&mut self.draining[machine], false) {
                     server.set_added_fields(&[]);
                     self.deployment.renew(machine);
                     self.shared.audit.borrow_mut().record_return(machine);
                 }
                 self.deployment.register(machine, "ready");
-                self.impaired[machine] = self.limited[machine] || self.cold[machine];
+                self.impaired[machine] =
+                    self.limited[machine] || self.cold[machine] || self.declining[machine];
             }
             Event::Register(_) => {}
             Event::Unregister(machine) => self.deployment.unregister(machine),
@@ -384,6 +393,7 @@
                 self.cold[machine] = false;
                 self.impaired[machine] = self.draining[machine] || self.limited[machine];
             }
+            Event::EndDecline(machine) => self.end_decline(machine),
             Event::TakeBack(zone) => self.take_back(&zone),
             Event::LiftLimit(machine) => {
                 self.deployment.machines[machine].server.set_added_fields(&[]);
--- a/testutils/tests/soak_audit.rs
+++ b/testutils/tests/soak_audit.rs
@@ -4,7 +4,7 @@
     monsoon_testutils::mesh::soak::audit::{
         cold::{self, Witness},
         disturbance::{Cause, Log},
-        evacuation,
+        evacuation, resends,
     },
     std::time::{Duration, Instant},
 };
@@ -52,6 +52,28 @@
     assert_eq!(cold_violations(Witness::Restart, &log, start, 100, 99), 1);
 }
 
+/// Resends of one window may exceed a fifth of its requests only by 48. Requests of the window before, or
+/// of the one that begins 5 s earlier, count as well, but not earlier ones.
+#[test]
+fn resends_in_window() {
+    let start = Instant::now();
+    for (resends_ms, allowed) in
+        [(10_000, 148), (15_000, 148), (20_000, 148), (25_000, 98), (31_000, 48)]
+    {
+        for (resends, is_violation) in [(allowed, false), (allowed + 1, true)] {
+            let mut audit = resends::Audit::default();
+            let resent = (0..resends).map(|n| after(start, resends_ms + n));
+            audit.record(start, std::iter::once(start).chain(resent).collect());
+            for i in 0..500 {
+                let sent_at = after(start, 10_000 + i * 20);
+                audit.record(sent_at, vec![sent_at]);
+            }
+            let found = audit.check("desk");
+            assert_eq!(found.is_some(), is_violation, "{resends} at {resends_ms} ms: {found:?}");
+        }
+    }
+}
+
 #[test]
 fn evacuated_zones() {
     let start = Instant::now();
