cold: the health check of a vouching node counts as a witness

Cause: a target that restarted while its node was cut off from the store was seen cold by the health check that vouches for it, which kept only its instance.

Both checks now share check_own_target, which records the cold time and a target that accepts no connections.

--- a/daemon/src/mesh/cold.rs
+++ b/daemon/src/mesh/cold.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         Mesh,
-        adapter::{Directory, HeaderAdapter},
+        adapter::{Directory, HeaderAdapter, Health},
     },
     crate::clock,
     monsoon_lib::{id, mesh::cold::Change, time::Instant},
@@ -83,22 +83,29 @@
             let path = node.table().and_then(|table| table.health(&node.settings().pool));
             path.map(str::to_owned)
         };
+        let is_reachable = self.check_own_target(path.as_deref()).await.1;
+        is_reachable || !is_down()
+    }
+
+    /// Checks the own target's health, if it has a path for that, and records whether it is cold.
+    /// Returns its health, and whether it accepts connections.
+    pub async fn check_own_target(&self, path: Option<&str>) -> (Option<Health>, bool) {
         let asked_at = clock::now();
         self.node.borrow_mut().gate().cold_mut().record_check(asked_at);
         let health = match path {
-            Some(path) => self.target.check_health(&self.header_adapter, &path).await,
+            Some(path) => self.target.check_health(&self.header_adapter, path).await,
             None => None,
         };
         let is_reachable = health.is_some() || self.target.is_reachable().await;
         let now = clock::now();
         let mut node = self.node.borrow_mut();
         let guard = node.gate().cold_mut();
-        match health.and_then(|health| health.cold_remaining) {
+        match health.as_ref().and_then(|health| health.cold_remaining) {
             Some(remaining) => guard.record_health(asked_at, now, remaining),
             None if !is_reachable => guard.record_down(now),
             None => {}
         }
-        is_reachable || !guard.is_down()
+        (health, is_reachable)
     }
 
     fn log_cold_target(&self, now: Instant) {
--- a/daemon/src/mesh/vouch.rs
+++ b/daemon/src/mesh/vouch.rs
@@ -127,7 +127,8 @@
             let path = node.table().and_then(|table| table.health(&node.settings().pool));
             path?.to_owned()
         };
-        let health = self.target.check_health(&self.header_adapter, &path).await;
+        // The target may have started again while its node and the platform are cut off.
+        let (health, _) = self.check_own_target(Some(&path)).await;
         health.map(|health| health.instance)
     }
 }
