--- a/cli/src/commands/pools.rs
+++ b/cli/src/commands/pools.rs
@@ -87,7 +87,7 @@
         }
         let rows = join(&nodes);
         match rows.is_empty() {
-            true => println!("No node hears of a pool under pressure."),
+            true => println!("No node reports a pool under pressure."),
             false => print!("{}", layout::format(&pool_columns(&rows))),
         }
         print!("\n{}", layout::format(&node_columns(&nodes)));
--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -160,7 +160,7 @@
         self.text("request").unwrap_or_default()
     }
 
-    /// Returns why an attempt or request ended, from all fields that tell about it.
+    /// Returns why an attempt or request ended, from all fields that state a reason.
     fn reason(&self) -> Option<String> {
         let plain = ["end", "reason", "cause", "error"].map(|field| self.value(field));
         let named = ["outcome", "status", "pool"]
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -39,12 +39,12 @@
         evacuations: Option<Vec<EvacuationFact>>,
         /// Whether `cold_limits` are all bounds of the document. If not, the sender has the document
         /// from a node of an earlier version, and the receiver has to read the platform. Versions
-        /// without this field don't tell; bounds that they send are all there are.
+        /// without this field don't say so; bounds that they send are all there are.
         #[serde(deserialize_with = "deserialize_trailing")]
         has_cold_limits: bool,
     },
     /// Completes `PeerResponse::RunFinished` instead of `RunFinished` where the reason in the message
-    /// does not tell why the outcome is unknown.
+    /// does not say why the outcome is unknown.
     RunLost {
         /// Why the outcome is unknown.
         cause: Cause,
@@ -54,7 +54,7 @@
 }
 
 /// Decodes a field that was added at the end of a supplement. It is false if the supplement ends
-/// before it, since postcard does not tell how many fields follow.
+/// before it, since postcard does not encode how many fields follow.
 fn deserialize_trailing<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
     Ok(bool::deserialize(deserializer).unwrap_or(false))
 }
--- a/daemon/src/mesh/link/liveness.rs
+++ b/daemon/src/mesh/link/liveness.rs
@@ -1,8 +1,8 @@
 //! Whether messages still arrive on a link.
 //!
 //! During a cut of the network the operating system accepts bytes for a link that does not deliver
-//! them. A request that may not run twice is therefore sent only if the peer was heard from a moment
-//! before.
+//! them. A request that may not run twice is therefore sent only if a message came from the peer a
+//! moment before.
 
 use {
     std::{cell::Cell, time::Duration},
--- a/lib/src/mesh/cold.rs
+++ b/lib/src/mesh/cold.rs
@@ -124,7 +124,7 @@
 enum Excess {
     #[default]
     None,
-    /// It did, and the log does not tell yet.
+    /// It did, and it is not logged yet.
     Unreported(Duration),
     Reported,
 }
@@ -139,7 +139,7 @@
     /// The heartbeat of the last entry and the remaining cold time in it.
     entry: Option<(Heartbeat, Duration)>,
     /// When an entry or a health answer was last received.
-    heard_at: Instant,
+    received_at: Instant,
     /// The end of the cold time, also while the rate rises after it.
     cold_until: Option<Instant>,
     /// Whether only the start of the node speaks for the cold time.
@@ -168,7 +168,7 @@
         let new = Bucket::new(now, rate, capacity(rate));
         self.bucket.get_or_insert(new).advance(now, rate, capacity(rate));
         if is_first {
-            self.heard_at = self.heard_at.max(now);
+            self.received_at = self.received_at.max(now);
             if !self.has_witness {
                 self.claims.insert(Witness::Start, Claim::new(now, now + limit.duration));
             }
@@ -192,7 +192,7 @@
         };
         if is_taken {
             self.entry = Some((heartbeat, remaining));
-            self.heard_at = now;
+            self.received_at = now;
             self.claims.insert(Witness::Entry, Claim::stated(now, now, remaining));
         }
         self.update(now);
@@ -204,7 +204,7 @@
         self.claims.retain(|_, claim| claim.made_at > asked_at);
         self.claims.insert(Witness::Health, Claim::stated(asked_at, now, remaining));
         self.has_witness = true;
-        self.heard_at = now;
+        self.received_at = now;
         self.is_check_requested = false;
         self.update(now);
     }
@@ -304,7 +304,7 @@
         let (since, interval) = match (is_unsure, self.is_check_requested) {
             (true, _) => (self.last_check, CHECK_INTERVAL),
             (false, true) => (self.last_check, BROKEN_CHECK_INTERVAL),
-            (false, false) => (self.last_check.max(Some(self.heard_at)), SILENCE),
+            (false, false) => (self.last_check.max(Some(self.received_at)), SILENCE),
         };
         self.limit.is_some() && since.is_none_or(|at| now - at >= interval)
     }
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -133,8 +133,8 @@
             let host = target.address.ip();
             let is_unresponsive =
                 unresponsive.contains(&host) || silent.contains(&target.data_centre);
-            let must_not_gamble = is_unresponsive && !call.route.is_idempotent();
-            if must_not_gamble || !self.peers.is_usable(now, host) {
+            let is_unsafe = is_unresponsive && !call.route.is_idempotent();
+            if is_unsafe || !self.peers.is_usable(now, host) {
                 exclude.push(target.name.clone());
             } else if is_unresponsive {
                 avoid.push(target.name.clone());
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -147,7 +147,7 @@
 
 /// The peers may be behind a partition, and then nobody could say whether the request ran.
 #[test]
-fn claim_not_gambled() {
+fn no_claim_sent() {
     for path in ["/claim/x", "/photo/x"] {
         assert_eq!(attempted(path, &[2, 3]), Err((Outcome::NotRun, Reason::NoTarget)), "{path}");
     }
