node: direct requests are those that no known run makes

Since the standing is computed only while a pool below is scarce, client requests counted as calls of runs in the order of resends at all other times. The call now states it. admitted_by_node checks it in both cases.

--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -169,6 +169,7 @@
                 hash_bucket: bucket_of(hash_fraction),
             },
         };
+        let is_direct = lineage.is_none();
         let is_repeat = lineage.is_some_and(|lineage| lineage.is_repeat);
         self.resend_budget(now, &pool).record_first_send(now, is_repeat);
         Ok(Call {
@@ -178,6 +179,7 @@
             pool,
             rank,
             standing,
+            is_direct,
             deadline: now + caller_timeout.min(route.timeout),
             arrived: now,
             attempted: Vec::new(),
--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -78,6 +78,8 @@
     /// The order of admission if the request came from a client while a pool below its route was
     /// scarce. Nothing else depends on it.
     pub standing: Option<Standing>,
+    /// Whether a client sent the request, and not a run that this node knows.
+    pub is_direct: bool,
     /// The time after which the caller does not wait for an answer any more.
     pub deadline: Instant,
     /// The arrival time of the request.
@@ -288,7 +290,7 @@
         };
         let need = Need {
             class: Class::from(call.rank),
-            is_direct: call.standing.is_some(),
+            is_direct: call.is_direct,
             hash_fraction: call.hash_fraction,
             share,
         };
--- a/lib/tests/mesh_standing.rs
+++ b/lib/tests/mesh_standing.rs
@@ -166,6 +166,8 @@
             let standing = Standing::of(kind, hash_fraction("client-1"), 1.0);
             // It is only needed while a pool is scarce.
             assert_eq!(call.standing, is_scarce.then_some(standing));
+            // Resends of clients' requests go before those of calls, also while no pool is scarce.
+            assert!(call.is_direct);
         }
         // The share is 0.999, so that all are admitted.
         report(&mut node, NOW, 95.1);
