--- a/lib/src/mesh/node/call.rs
+++ b/lib/src/mesh/node/call.rs
@@ -78,6 +78,8 @@
     /// The order of admission if the request came from a client while a pool below its route was
     /// scarce. Nothing else depends on it.
     pub standing: Option<Standing>,
+    /// Whether a client sent the request, and not a run that this node knows.
+    pub is_direct: bool,
     /// The time after which the caller does not wait for an answer any more.
     pub deadline: Instant,
     /// The arrival time of the request.
@@ -133,8 +135,8 @@
             let host = target.address.ip();
             let is_unresponsive =
                 unresponsive.contains(&host) || silent.contains(&target.data_centre);
-            let must_not_gamble = is_unresponsive && !call.route.is_idempotent();
-            if must_not_gamble || !self.peers.is_usable(now, host) {
+            let is_unsafe = is_unresponsive && !call.route.is_idempotent();
+            if is_unsafe || !self.peers.is_usable(now, host) {
                 exclude.push(target.name.clone());
             } else if is_unresponsive {
                 avoid.push(target.name.clone());
@@ -288,7 +290,7 @@
         };
         let need = Need {
             class: Class::from(call.rank),
-            is_direct: call.standing.is_some(),
+            is_direct: call.is_direct,
             hash_fraction: call.hash_fraction,
             share,
         };
