--- a/lib/tests/mesh_quota.rs
+++ b/lib/tests/mesh_quota.rs
@@ -195,6 +195,22 @@
     }
 }
 
+/// The demand of a small account rises from below its rate to many times it. Guards against buckets
+/// of idle nodes that together hold more than the platform tolerates.
+#[test]
+fn rise_on_many_nodes() {
+    const SMALL: u64 = 28;
+    const NODES: usize = 62;
+    for seed in 0..6 {
+        let per_node = SMALL as f64 / NODES as f64;
+        let mut simulation = Simulation::of(NODES, seed, SMALL);
+        simulation.simulate(Duration::from_secs(10), |_| 0.6 * per_node);
+        simulation.simulate(Duration::from_secs(8), |_| 7.5 * per_node);
+        let (worst, max) = (simulation.worst_window(), max_per_window(SMALL));
+        assert!(worst <= max, "seed {seed}: {worst} in a window, at most {max}");
+    }
+}
+
 /// An account stays below a small rate and sends to each of many nodes only rarely. The small
 /// shares of the nodes must not lead to wrongful refusals.
 #[test]
