quota: one place for the even share, plain form of the admitted fraction

Found on reading the change again. The even share of a rate was computed twice, once with a node count of 0 taken as 1; nodes know their peers before a coordinator answers, so nothing changes for them. The fraction needs no case for the rate 0: its bucket holds nothing.

--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -103,9 +103,8 @@
                 Self { admitted: 1.0, margin: OVERLOAD_MARGIN, min_capacity: MIN_OVERLOAD_CAPACITY }
             }
             Some(demand) => {
-                let admitted = OVERLOAD_MARGIN * rate / demand.max(OVERLOAD_MARGIN * rate);
-                // An account with neither rate nor demand has a capacity of 0.
-                let admitted = if rate > 0.0 { admitted } else { 0.0 };
+                let sold = OVERLOAD_MARGIN * rate;
+                let admitted = if demand > sold { sold / demand } else { 1.0 };
                 Self { admitted, margin: REFILL_MARGIN, min_capacity: MIN_CAPACITY }
             }
         }
@@ -220,7 +219,7 @@
         bucket.refill(now);
         bucket.requests += 1;
         let admitted = bucket.enforcement.admitted;
-        if hash_fraction >= admitted {
+        if hash_fraction > admitted {
             // The further the demand is above the rate, the longer it takes to fall.
             return Err(MAX_RETRY_AFTER.mul_f64(1.0 - admitted));
         }
@@ -276,11 +275,18 @@
         demand
     }
 
+    /// Returns the share of each node if all had the same.
+    fn even_fraction(&self) -> f64 {
+        match self.node_count {
+            // Until the node knows how many others there are, it must not refill its buckets.
+            0 => 0.0,
+            count => 1.0 / count as f64,
+        }
+    }
+
     fn fraction_for(&self, account: &id::Account) -> f64 {
         match &self.shares {
-            // Until the node knows how many others there are, it must not refill its buckets.
-            None if self.node_count == 0 => 0.0,
-            None => 1.0 / self.node_count as f64,
+            None => self.even_fraction(),
             Some(shares) => f64::from(
                 shares
                     .by_account
@@ -304,6 +310,7 @@
     fn apply(&mut self, now: Instant) {
         let fractions: Vec<(id::Account, f64)> =
             self.buckets.keys().map(|name| (name.clone(), self.fraction_for(name))).collect();
+        let even_fraction = self.even_fraction();
         for (name, fraction) in fractions {
             if let Some(bucket) = self.buckets.get_mut(&name) {
                 bucket.refill(now);
@@ -318,7 +325,7 @@
                 }
                 bucket.enforcement = enforcement;
                 bucket.fraction = fraction;
-                bucket.even_fraction = 1.0 / self.node_count.max(1) as f64;
+                bucket.even_fraction = even_fraction;
                 bucket.tokens = bucket.tokens.min(bucket.capacity());
             }
         }
