--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,6 +4,7 @@
 mod dark_peer;
 mod drain_flush;
 mod repeated_decline;
+mod slow_readers;
 
 use std::io;
 
@@ -14,6 +15,7 @@
         "dark-peer" => dark_peer::play(has_trouble),
         "drain-flush" => drain_flush::play(has_trouble),
         "repeated-decline" => repeated_decline::play(has_trouble),
+        "slow-readers" => slow_readers::play(has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
