--- a/review/standin/cases/dark_peer.rs
+++ b/review/standin/cases/dark_peer.rs
@@ -1,12 +1,13 @@
-//! A machine is cut off from the others while no request to it is in progress. Connections to it hang
-//! from then on, and its server stays listed in the store, which it reaches.
+//! The node of the clients' machine is restarted as planned while another machine is cut off from the
+//! others. Connections to that machine hang, and its server stays listed in the store, which it
+//! reaches.
 
 use {
     crate::{
         http::{Connection, Request},
         record,
         server::Plan,
-        site::{Route, Site},
+        site::{Route, SIGTERM, Site},
     },
     std::{
         io,
@@ -17,68 +18,89 @@
     },
 };
 
-/// The clients send a request each, together, every period.
-const CLIENTS: usize = 80;
-const PERIOD: Duration = Duration::from_millis(2_700);
-const ROUNDS: u32 = 5;
-/// After which round, and how long after its start, the machine is cut off. All requests have been
-/// answered by then.
-const CUT_ROUND: u32 = 2;
-const CUT_AFTER: Duration = Duration::from_millis(700);
+const CLIENTS: usize = 240;
+/// The pause of a client between an answer and its next request.
+const PAUSE: Duration = Duration::from_millis(500);
 /// The machine that is cut off.
 const CUT: usize = 4;
-/// The route and the time budget of `notice-read`.
-const TIMEOUT_MS: u64 = 1_200;
-const BUDGET_MS: u64 = 2_500;
+/// How long the clients send requests. The cut lasts longer.
+const TRAFFIC_TIME: Duration = Duration::from_millis(5_000);
+const TIMEOUT_MS: u64 = 2_500;
+const BUDGET_MS: u64 = 5_000;
 /// How long after its route's timeout a request must have its final answer.
 const LATE_MS: u64 = 500;
+/// `stability_ms`, after which a machine is in touch.
+const STABILITY: Duration = Duration::from_millis(3_000);
+/// The delay with which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// How often the platform asks whether a node is ready.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 struct Attempt {
     id: String,
+    sent: Instant,
     /// The status and the time of the answer, if there was one within the time budget.
     answer: Option<(u16, u64)>,
 }
 
 pub fn play(has_trouble: bool) -> io::Result<bool> {
     let behaviour = |_: &str, _: &_| Plan {
-        work: Duration::from_millis(50),
+        work: Duration::from_millis(240),
         body: Arc::new(b"ok".to_vec()),
         ..Plan::default()
     };
     let services = ["front", "desk", "desk", "desk", "desk"];
     let mut site = Site::start(&services, 100, Arc::new(behaviour))?;
     let route = Route {
-        prefix: "/notice/",
+        prefix: "/look/",
         kind: "idempotent",
         service: "desk",
         timeout_ms: TIMEOUT_MS,
-        aim_ms: 600,
+        aim_ms: 1_200,
     };
     site.publish(&[route]);
     site.start_nodes()?;
+    if has_trouble {
+        record!("m{CUT} is cut off from the other machines; its server stays in the store");
+        site.cut_off(CUT)?;
+    }
+    record!("planned restart of the node of m0: SIGTERM");
+    site.machines[0].signal(SIGTERM);
+    while site.machines[0].ended().is_none() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(RESTART_DELAY);
+    let started = Instant::now();
+    site.start_node(0)?;
+    record!("the node of m0 is started again");
+    loop {
+        thread::sleep(PROBE_INTERVAL);
+        if site.machines[0].is_ready() {
+            break;
+        }
+    }
+    record!("the node of m0 is ready, the clients are back");
     let address = site.machines[0].outbound();
     let attempts: Arc<Mutex<Vec<Attempt>>> = Arc::default();
-    let begin = Instant::now() + Duration::from_millis(500);
+    let end = Instant::now() + TRAFFIC_TIME;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let attempts = attempts.clone();
-            thread::spawn(move || ask(address, number, begin, &attempts))
+            thread::spawn(move || ask(address, number, end, &attempts))
         })
         .collect();
-    thread::sleep(
-        (begin + PERIOD * CUT_ROUND + CUT_AFTER).saturating_duration_since(Instant::now()),
-    );
-    if has_trouble {
-        record!("m{CUT} is cut off, its connections are reset; its server stays in the store");
-        site.cut_off(CUT)?;
-    }
     for client in clients {
         client.join().map_err(|_| io::Error::other("a client panicked"))?;
     }
     site.record_log(0, "unreachable");
     let attempts = attempts.lock().expect("the attempts");
+    let timeout = Duration::from_millis(TIMEOUT_MS);
+    // Only those count at whose timeout the machine was in touch.
     let lasts = |limit_ms: u64| {
-        attempts.iter().filter(move |attempt| attempt.answer.is_none_or(|(_, ms)| ms >= limit_ms))
+        attempts.iter().filter(move |attempt| {
+            let is_in_touch = attempt.sent + timeout >= started + STABILITY;
+            is_in_touch && attempt.answer.is_none_or(|(_, ms)| ms >= limit_ms)
+        })
     };
     let (lasting, late) = (lasts(TIMEOUT_MS).count(), lasts(TIMEOUT_MS + LATE_MS).count());
     for attempt in lasts(TIMEOUT_MS) {
@@ -96,14 +118,18 @@
     Ok(lasting >= 8 && late * 4 > lasting)
 }
 
-fn ask(address: SocketAddr, client: usize, begin: Instant, attempts: &Mutex<Vec<Attempt>>) {
+fn ask(address: SocketAddr, client: usize, end: Instant, attempts: &Mutex<Vec<Attempt>>) {
+    // The clients don't come back all at the same moment.
+    thread::sleep(PAUSE * client as u32 / CLIENTS as u32);
     let Ok(mut connection) = Connection::open(address) else { return };
-    for round in 0..ROUNDS {
-        thread::sleep((begin + PERIOD * round).saturating_duration_since(Instant::now()));
-        let id = format!("notice-{round}-{client}");
+    for number in 0.. {
+        if Instant::now() > end {
+            return;
+        }
+        let id = format!("look-{client}-{number}");
         let request = Request {
             method: "GET",
-            path: "/notice/1",
+            path: "/look/1",
             id: &id,
             key: "key-1",
             budget_ms: BUDGET_MS,
@@ -118,6 +144,7 @@
                 Err(_) => return,
             }
         }
-        attempts.lock().expect("the attempts").push(Attempt { id, answer });
+        attempts.lock().expect("the attempts").push(Attempt { id, sent, answer });
+        thread::sleep(PAUSE);
     }
 }
