--- a/review/standin/cases/slow_readers.rs
+++ b/review/standin/cases/slow_readers.rs
@@ -6,7 +6,7 @@
         http::{Connection, Request},
         record,
         server::Plan,
-        site::{MEMORY_MB, Route, Site},
+        site::{MEMORY_MB, Route, SIGKILL, Site},
     },
     std::{
         io,
@@ -32,7 +32,6 @@
 /// Clients on kept connections that ask for small answers meanwhile.
 const OTHER_CLIENTS: usize = 12;
 const STATUS_WORK: Duration = Duration::from_millis(200);
-const SIGKILL: i32 = 9;
 
 pub fn play(has_trouble: bool) -> io::Result<bool> {
     let photo = Arc::new(vec![b'x'; ANSWER_BYTES]);
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -7,7 +7,7 @@
         io::{self, BufReader, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -29,7 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
-    pub caller: String,
     pub is_done: bool,
 }
 
@@ -43,6 +42,17 @@
     pub id: String,
     pub service: String,
     pub slots: usize,
+    /// The Unix millisecond of its start.
+    pub born: u128,
+}
+
+impl Settings {
+    /// Returns the settings of a server that starts now.
+    pub fn new(id: &str, service: &str, slots: usize) -> Self {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = now.map_or(0, |since| since.as_millis());
+        Self { id: id.into(), service: service.into(), slots, born }
+    }
 }
 
 /// The server that is running at an address, if there is one.
@@ -126,11 +136,10 @@
         );
         return (head.into_bytes(), plan.is_repeated);
     }
-    let caller = request.field("x-caller-service").unwrap_or_default().to_owned();
-    record!("server {server} runs {id}, X-Caller-Service {caller}");
+    record!("server {server} runs {id}");
     let number = {
         let mut runs = runs.lock().expect("the runs");
-        runs.push(Run { id: id.into(), caller, is_done: false });
+        runs.push(Run { id: id.into(), is_done: false });
         runs.len() - 1
     };
     std::thread::sleep(plan.work);
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -19,9 +19,8 @@
     },
 };
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
-const SIGKILL: i32 = 9;
+pub const SIGKILL: i32 = 9;
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
@@ -37,6 +36,9 @@
 const METRICS: u16 = 7_009;
 const STORE: u16 = 18_745;
 
+/// The zones of the settings.
+pub const ZONES: [&str; 3] = ["za", "zb", "zc"];
+
 /// How many connections a listener's queue of length 0 may hold.
 const MAX_HELD: usize = 16;
 
@@ -48,6 +50,7 @@
     pub name: String,
     pub address: Ipv4Addr,
     pub service: String,
+    pub zone: String,
     /// The server on this machine.
     server: Option<Current>,
     node: Option<Child>,
@@ -145,8 +148,18 @@
 }
 
 impl Site {
-    /// Starts a deployment with one machine for each of the services.
+    /// Starts a deployment with one machine for each of the services, all in one zone.
     pub fn start(services: &[&str], slots: usize, behaviour: Behaviour) -> io::Result<Self> {
+        let machines: Vec<_> = services.iter().map(|service| (*service, ZONES[0])).collect();
+        Self::start_in_zones(&machines, slots, behaviour)
+    }
+
+    /// Starts a deployment with one machine for each pair of a service and a zone.
+    pub fn start_in_zones(
+        services: &[(&str, &str)],
+        slots: usize,
+        behaviour: Behaviour,
+    ) -> io::Result<Self> {
         let network = free_network(services.len())?;
         let address = |number: usize| Ipv4Addr::new(127, network.0, network.1, number as u8 + 10);
         let store_address = SocketAddr::from((Ipv4Addr::new(127, network.0, network.1, 2), STORE));
@@ -161,18 +174,18 @@
             store_address,
             version: 4,
         };
-        for (number, service) in services.iter().enumerate() {
+        for (number, (service, zone)) in services.iter().enumerate() {
             let machine = Machine {
                 name: format!("m{number}"),
                 address: address(number),
                 service: (*service).into(),
+                zone: (*zone).into(),
                 server: None,
                 node: None,
                 hole: None,
             };
             site.machines.push(machine);
-            let settings =
-                Settings { id: format!("i-{number}"), service: (*service).into(), slots };
+            let settings = Settings::new(&format!("i-{number}"), service, slots);
             site.start_server(number, settings, behaviour.clone())?;
             site.write_settings(number, service)?;
         }
@@ -206,30 +219,36 @@
 
     /// Writes the entry of a server to the store.
     pub fn register(&self, machine: usize, settings: &Settings) {
-        let Settings { id, service, slots } = settings;
+        self.write_entry(machine, settings, "ready");
+    }
+
+    /// Writes the entry of a server with this state to the store.
+    pub fn write_entry(&self, machine: usize, settings: &Settings, state: &str) {
+        let Settings { id, service, slots, born } = settings;
+        let zone = &self.machines[machine].zone;
         let address = SocketAddr::from((self.machines[machine].address, SERVER));
         let entry = format!(
             "{{\"address\":\"{address}\",\"born\":{},\"info\":{{\"service\":\"{service}\",\
-             \"version\":\"v1\",\"zone\":\"za\",\"slots\":{slots}}},\"status\":{{\
-             \"state\":\"ready\",\"sequence\":4,\"cold_remaining_ms\":0}}}}",
-            unix_ms()
+             \"version\":\"v1\",\"zone\":\"{zone}\",\"slots\":{slots}}},\"status\":{{\
+             \"state\":\"{state}\",\"sequence\":4,\"cold_remaining_ms\":0}}}}",
+            born
         );
         self.store.write(&format!("servers/{id}"), Some(&entry));
     }
 
     /// Writes the settings file of a machine.
     pub fn write_settings(&self, machine: usize, service: &str) -> io::Result<()> {
-        let Machine { name, address, .. } = &self.machines[machine];
+        let Machine { name, address, zone, .. } = &self.machines[machine];
         let store = self.store_address;
         let text = format!(
             "[self]\nnode = \"{name}\"\nrole = \"node\"\nmachine_class = \"sidecar\"\n\
-             serves = [\"sidecar\"]\nip = \"{address}\"\nzone = \"za\"\nregion = \"r\"\n\
+             serves = [\"sidecar\"]\nip = \"{address}\"\nzone = \"{zone}\"\nregion = \"r\"\n\
              counts_as_loss = false\nbootstrap = true\napp_addr = \"{address}:{SERVER}\"\n\
              service = \"{service}\"\n[self.limits]\ncpu_share = 0.4\ncores = 1\n\
              memory_mb = {MEMORY_MB}\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n\
              [network]\nport_range = [7000,7015]\nseeds = []\n[network.listen]\n\
              inbound = \"{address}:{INBOUND}\"\noutbound = \"{address}:{OUTBOUND}\"\n\
-             ready = \"{address}:{READY}\"\n[network.zones]\nza = \"r\"\n[platform]\n\
+             ready = \"{address}:{READY}\"\n[network.zones]\nza = \"r\"\nzb = \"r\"\nzc = \"r\"\n[platform]\n\
              discovery = \"platform\"\nentry = \"static\"\nheartbeat_ms = 1500\n\
              [platform.platform]\naddress = \"{store}\"\nform = \"read\"\nwrites_per_s = 400\n\
              reads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n\
@@ -377,11 +396,6 @@
 /// The memory of a machine, as on the sites with the fewest machines.
 pub const MEMORY_MB: u64 = 260;
 
-fn unix_ms() -> u128 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |since| since.as_millis())
-}
-
 /// Returns the program and the arguments of the deploy file's only role.
 fn deploy_command() -> io::Result<Vec<String>> {
     let text = fs::read_to_string(Path::new("deploy/system.toml"))?;
