--- a/review/standin/cases/drain_flush.rs
+++ b/review/standin/cases/drain_flush.rs
@@ -15,12 +15,12 @@
     },
 };
 
-const ANSWER_BYTES: usize = 12 << 20;
-/// How fast clients read. They have the whole answer within 4 s.
+const ANSWER_BYTES: usize = 14 << 20;
+/// How fast clients read. They have the whole answer within 4.7 s.
 const CLIENT_BYTES_PER_S: usize = 3 << 20;
-const CLIENTS: usize = 2;
-/// When the node is stopped, after the requests were sent.
-const STOPPED_AFTER: Duration = Duration::from_millis(500);
+/// When clients send their requests, after SIGTERM. The answers then come from the servers one after
+/// the other, and the last client has its answer 5.5 s after SIGTERM, within the grace.
+const SENT_AFTER: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(800)];
 const BUDGET_MS: u64 = 8_000;
 
 pub fn play(has_trouble: bool) -> io::Result<bool> {
@@ -42,38 +42,43 @@
     site.publish(&[route]);
     site.start_nodes()?;
     let address = site.machines[0].outbound();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
+    // The connections are open before the node is stopped, and clients go on using them.
+    let connections = SENT_AFTER.iter().map(|_| Connection::open(address));
+    let connections = connections.collect::<io::Result<Vec<_>>>()?;
+    let stopped = Instant::now();
+    if has_trouble {
+        record!("SIGTERM to the node of the clients' machine");
+        site.machines[0].signal(SIGTERM);
+    }
+    let clients: Vec<_> = connections
+        .into_iter()
+        .zip(SENT_AFTER)
+        .enumerate()
+        .map(|(number, (connection, delay))| {
             thread::spawn(move || {
-                // The answers are received from the server one after the other.
-                thread::sleep(Duration::from_millis(150) * number as u32);
-                fetch(address, number)
+                thread::sleep(delay);
+                fetch(connection, number)
             })
         })
         .collect();
-    thread::sleep(STOPPED_AFTER);
-    let stopped = Instant::now();
+    while has_trouble && site.machines[0].ended().is_none() {
+        thread::sleep(Duration::from_millis(10));
+    }
     if has_trouble {
-        record!("SIGTERM to the node of the clients' machine");
-        site.machines[0].signal(SIGTERM);
-        while site.machines[0].ended().is_none() {
-            thread::sleep(Duration::from_millis(10));
-        }
         record!("the node has ended {} ms after SIGTERM", stopped.elapsed().as_millis());
     }
     let mut is_broken = false;
     for client in clients {
         is_broken |= client.join().map_err(|_| io::Error::other("a client panicked"))??;
     }
-    site.record_log(0, "leaving");
+    site.record_log(0, "\"leaving\"");
     site.record_log(0, "stopped");
     Ok(is_broken)
 }
 
 /// Fetches an answer. Returns whether the connection ended without the whole of it.
-fn fetch(address: std::net::SocketAddr, number: usize) -> io::Result<bool> {
+fn fetch(mut client: Connection, number: usize) -> io::Result<bool> {
     let id = format!("photo-{number}");
-    let mut client = Connection::open(address)?;
     let request = Request {
         method: "GET",
         path: "/photo/1",
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A request or a response.
@@ -133,22 +133,24 @@
     /// Reads the next answer at the given rate at most. The body of the answer is counted and not
     /// kept. Returns the head, how many bytes of the body were received, and how the reading ended.
     pub fn receive_slowly(&mut self, bytes_per_s: usize) -> (Message, usize, io::Result<()>) {
-        const STEP: Duration = Duration::from_millis(20);
+        const CHUNK_BYTES: usize = 64 << 10;
         let head = match read_head(&mut self.reader) {
             Ok(Some(head)) => head,
             Ok(None) => return (Message::default(), 0, Err(io::ErrorKind::UnexpectedEof.into())),
             Err(error) => return (Message::default(), 0, Err(error)),
         };
-        let mut chunk = vec![0; (bytes_per_s as f64 * STEP.as_secs_f64()) as usize];
+        let started = Instant::now();
+        let mut chunk = vec![0; CHUNK_BYTES];
         let mut received = 0;
         while received < head.length() {
-            let wanted = chunk.len().min(head.length() - received);
+            let wanted = CHUNK_BYTES.min(head.length() - received);
             match self.reader.read(&mut chunk[..wanted]) {
                 Ok(0) => return (head, received, Err(io::ErrorKind::UnexpectedEof.into())),
                 Ok(count) => received += count,
                 Err(error) => return (head, received, Err(error)),
             }
-            std::thread::sleep(STEP);
+            let due = Duration::from_secs_f64(received as f64 / bytes_per_s as f64);
+            std::thread::sleep(due.saturating_sub(started.elapsed()));
         }
         (head, received, Ok(()))
     }
