target: never send a request again on a connection on which it was declined

Cause: a response is recognized by its request id, which is the same for all attempts of a request. A target in trouble sends its decline once more, late. The pool hands out the connection that was used last, so the next attempt at the same target goes to the connection with the copy in it, and the copy counts as the response to that attempt.

Ruled out: responses of other requests (ids are compared), extra bytes on an idle connection (hyper closes it), two attempts at a time, copies on links between nodes (numbered per attempt).

Change: a connection keeps the hashes of the ids that were declined on it until the requests' deadlines, and the pool leaves it out for these. No copy can then meet an attempt with its id.

--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -142,7 +142,8 @@
             Ok(message) => message,
             Err(error) => return ExchangeResult::Unreachable(io::Error::other(error)),
         };
-        let connecting = self.take_connection(is_idempotent);
+        let id = forwarded.request.as_str();
+        let connecting = self.take_connection(Some(id), is_idempotent);
         let connecting = tokio::time::timeout(forwarded.remaining, connecting);
         let (mut sender, connection) = match connecting.await {
             Ok(Ok(connection)) if began.elapsed() < forwarded.remaining => connection,
@@ -187,7 +188,11 @@
                 )
             }
             ResponseVerdict::NotExecuted(refusal) => {
-                self.return_to_pool(sender, connection, &headers);
+                if connection.record_decline(id, sent_at + timeout) {
+                    self.return_to_pool(sender, connection, &headers);
+                } else {
+                    connection.set_ending(Ending::Expired);
+                }
                 let fields = end_to_end_fields(&headers, |_| true);
                 ExchangeResult::Declined { refusal, fields }
             }
@@ -215,14 +220,28 @@
         Ok(bytes.freeze())
     }
 
+    /// Removes the most recently used idle connection on which the target has not declined the
+    /// request. It is the least likely to have been closed by the target.
+    fn pop_idle(&self, request: Option<&str>) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let is_usable =
+            |idle: &IdleConnection| request.is_none_or(|id| !idle.connection.has_declined(id));
+        let index = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(index))
+    }
+
+    /// Returns a connection for a request with this id, or for a health check.
     async fn take_connection(
         &self,
+        request: Option<&str>,
         is_idempotent: bool,
     ) -> io::Result<(SendRequest<Full<Bytes>>, Connection)> {
         let now = Instant::now();
-        let mut opening = Opening::NoneIdle;
-        // The most recently used connection is the least likely to have been closed by the target.
-        while let Some(idle) = self.idle.borrow_mut().pop() {
+        let mut opening = match self.idle.borrow().is_empty() {
+            true => Opening::NoneIdle,
+            false => Opening::Declined,
+        };
+        while let Some(idle) = self.pop_idle(request) {
             let is_safe = is_idempotent || now - idle.idle_since < NON_IDEMPOTENT_MAX_IDLE;
             if idle.expires_at > now && is_safe && idle.sender.is_ready() {
                 idle.connection.exchange.begin();
@@ -281,7 +300,7 @@
                 body: Bytes::new(),
             };
             let message = build_request(&request, Vec::new()).map_err(io::Error::other)?;
-            let (mut sender, _connection) = self.take_connection(false).await?;
+            let (mut sender, _connection) = self.take_connection(None, false).await?;
             let response = sender.send_request(message).await.map_err(io::Error::other)?;
             Ok::<_, io::Error>(
                 header_adapter.healthy_instance(response.status().as_u16(), response.headers()),
--- a/daemon/src/mesh/target/connection.rs
+++ b/daemon/src/mesh/target/connection.rs
@@ -3,10 +3,17 @@
 use {
     super::stream::Exchange,
     prometheus::{IntCounterVec, Opts, Registry},
-    std::{cell::Cell, rc::Rc},
-    tokio::task::JoinHandle,
+    std::{
+        cell::{Cell, RefCell},
+        hash::{DefaultHasher, Hash as _, Hasher as _},
+        rc::Rc,
+    },
+    tokio::{task::JoinHandle, time::Instant},
 };
 
+/// How many declined requests are remembered for a connection. It is closed when there are more.
+const MAX_DECLINED_REQUESTS: usize = 256;
+
 /// Why a connection was opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Opening {
@@ -14,15 +21,18 @@
     NoneIdle,
     /// There were idle connections, but none that could be used any more.
     Expired,
+    /// The target had declined the same request on each idle connection.
+    Declined,
 }
 
 impl Opening {
-    const ALL: [Self; 2] = [Self::NoneIdle, Self::Expired];
+    const ALL: [Self; 3] = [Self::NoneIdle, Self::Expired, Self::Declined];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::NoneIdle => "none-idle",
             Self::Expired => "expired",
+            Self::Declined => "declined",
         }
     }
 }
@@ -95,10 +105,25 @@
     /// What is known of the current exchange.
     pub exchange: Rc<Exchange>,
     task: JoinHandle<()>,
+    declined: RefCell<Vec<DeclinedRequest>>,
     ending: Cell<Ending>,
     counters: Counters,
 }
 
+/// A request that the target declined on a connection.
+struct DeclinedRequest {
+    /// The hash of the request id. If two are equal, a connection is left out without need.
+    id_hash: u64,
+    /// Until when the request may be sent again.
+    deadline: Instant,
+}
+
+fn hash_id(request: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Connection {
     /// Counts a connection that was opened. Unless [`Connection::set_ending`] says otherwise, it
     /// counts as cancelled when it is dropped.
@@ -109,7 +134,32 @@
         counters: &Counters,
     ) -> Self {
         counters.opened.with_label_values(&[opening.as_str()]).inc();
-        Self { exchange, task, ending: Cell::new(Ending::Cancelled), counters: counters.clone() }
+        Self {
+            exchange,
+            task,
+            declined: RefCell::default(),
+            ending: Cell::new(Ending::Cancelled),
+            counters: counters.clone(),
+        }
+    }
+
+    /// Records that the target declined a request, which may be sent again until `deadline`. Returns
+    /// whether the connection may be reused.
+    pub fn record_decline(&self, request: &str, deadline: Instant) -> bool {
+        let now = Instant::now();
+        let mut declined = self.declined.borrow_mut();
+        declined.retain(|earlier| earlier.deadline > now);
+        declined.push(DeclinedRequest { id_hash: hash_id(request), deadline });
+        declined.len() <= MAX_DECLINED_REQUESTS
+    }
+
+    /// Returns whether the target declined the request on this connection. If it sends that response
+    /// once more, it has the id that the response to the next attempt has, so the request must not
+    /// be sent on this connection again. See docs/design/outcome.md.
+    pub fn has_declined(&self, request: &str) -> bool {
+        let declined = self.declined.borrow();
+        let id_hash = hash_id(request);
+        declined.iter().any(|earlier| earlier.id_hash == id_hash)
     }
 
     /// Sets how the connection is counted when it is dropped.
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -36,6 +36,8 @@
     Sheds,
     /// Declines this percentage of the requests as [`Behaviour::Sheds`] does, and executes the others.
     Declines(u32),
+    /// Declines each request when it first arrives, and executes it when it arrives again.
+    DeclinesFirst,
     /// Resets the connection after the service time.
     Resets,
     /// Closes the connection before the end of the answer's body.
@@ -87,6 +89,8 @@
     behaviour: Behaviour,
     is_healthy: bool,
     service_time: Duration,
+    /// Whether each decline is sent once more before the next answer on its connection.
+    repeats_declines: bool,
     /// Header lines that are added to all answers, each with its line break.
     added_fields: String,
     /// Until when the server is cold.
@@ -135,6 +139,7 @@
             behaviour: Behaviour::Normal,
             is_healthy: true,
             service_time: Duration::from_millis(5),
+            repeats_declines: false,
             added_fields: String::new(),
             cold_until: Instant::now(),
             cold_start: Duration::ZERO,
@@ -176,6 +181,11 @@
         state.service_time = service_time;
     }
 
+    /// Sets whether each decline is sent once more, late: before the next answer on its connection.
+    pub fn set_repeats_declines(&self, repeats_declines: bool) {
+        self.state().repeats_declines = repeats_declines;
+    }
+
     /// Sets the header fields that are added to all answers from now on.
     pub fn set_added_fields(&self, fields: &[(&str, &str)]) {
         let lines = fields.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
@@ -268,9 +278,13 @@
         _ => {}
     }
     let mut buffer = Vec::new();
+    let mut late_copy = String::new();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer).await {
+        if stream.write_all(std::mem::take(&mut late_copy).as_bytes()).await.is_err() {
+            return;
+        }
         let run = Run { head, body, at: Instant::now(), is_executed: false, is_completed: false };
-        if serve(&shared, &mut stream, run).await.is_none() {
+        if serve(&shared, &mut stream, &mut late_copy, run).await.is_none() {
             return;
         }
     }
@@ -300,8 +314,14 @@
     }
 }
 
-/// Serves one request. Returns none if the connection is to be closed.
-async fn serve(shared: &Shared, stream: &mut TcpStream, run: Run) -> Option<()> {
+/// Serves one request. Sets `late_copy` to the answer if it is sent once more. Returns none if the
+/// connection is to be closed.
+async fn serve(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    late_copy: &mut String,
+    run: Run,
+) -> Option<()> {
     if run.head.starts_with("GET /health ") {
         let (is_healthy, cold_remaining) = {
             let state = shared.state.lock().expect("the server's state");
@@ -330,6 +350,9 @@
         let is_declined = match behaviour {
             Behaviour::Sheds => true,
             Behaviour::Declines(percent) => state.random.random_ratio(percent, 100),
+            Behaviour::DeclinesFirst => {
+                !state.runs.iter().any(|run| run.field("x-request-id") == Some(&id))
+            }
             _ => false,
         };
         (behaviour, state.service_time, is_declined)
@@ -340,7 +363,11 @@
             "HTTP/1.1 503 Full\r\n{}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
             added_fields(shared)
         );
-        return stream.write_all(head.as_bytes()).await.ok();
+        stream.write_all(head.as_bytes()).await.ok()?;
+        if shared.state.lock().expect("the server's state").repeats_declines {
+            *late_copy = head;
+        }
+        return Some(());
     }
     let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
     shared.max_running.fetch_max(running, Ordering::SeqCst);
@@ -398,6 +425,7 @@
         Behaviour::Normal
         | Behaviour::Sheds
         | Behaviour::Declines(_)
+        | Behaviour::DeclinesFirst
         | Behaviour::Rejects
         | Behaviour::NeverReads => response("200 OK", id),
         Behaviour::Fails => response("500 Failed", id),
