link: share one attempt to connect to a peer among all requests that wait for it

Cause: concurrent requests take a lock of the peer to share one new link, but when the attempt to connect fails, the next one in line makes an attempt of its own, each until its timeout of 0.6 s. No deadline bounds the wait, and only requests that are not idempotent took it off the time that the target is given.

Ruled out: the choice of targets (no request picks the target after the first failure), the gate of the target (no message reaches it), resends (each slow request has one attempt).

Change: one attempt at a time runs in a task of its own, and its result goes to all that wait. It goes on when they give up, and its failure marks the peer as unreachable in any case. The wait of a request ends at its deadline, as not run. Pings of unreachable peers and announcements of a node that starts or leaves no longer queue up behind each other either.

--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -1,6 +1,9 @@
 //! The links that this node opened to its peers. Each multiplexes many requests.
 
+mod connecting;
 mod liveness;
+#[cfg(test)]
+mod tests;
 
 use {
     super::{
@@ -12,6 +15,7 @@
         socket,
     },
     bytes::{Bytes, BytesMut},
+    connecting::Connecting,
     liveness::Liveness,
     monsoon_lib::id,
     std::{
@@ -33,6 +37,8 @@
     },
 };
 
+pub use connecting::ConnectFailure;
+
 /// The time without a message from a peer, while requests are pending, after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(250);
 /// The time without a message after which other peers are preferred. It is long enough that a node
@@ -101,9 +107,9 @@
     local_address: IpAddr,
     port: u16,
     data_centre: id::DataCentre,
-    links: RefCell<HashMap<IpAddr, Rc<Link>>>,
+    links: Rc<RefCell<HashMap<IpAddr, Rc<Link>>>>,
     unresponsive: Rc<RefCell<BTreeSet<IpAddr>>>,
-    connect_locks: RefCell<HashMap<IpAddr, Rc<tokio::sync::Mutex<()>>>>,
+    connecting: Rc<Connecting>,
     last_request_number: Cell<u64>,
     is_leaving: Cell<bool>,
 }
@@ -128,15 +134,21 @@
 }
 
 impl Links {
-    /// Creates the set of links from this VM's address to peers that listen on `port`.
-    pub fn new(local_address: IpAddr, port: u16, data_centre: id::DataCentre) -> Self {
+    /// Creates the set of links from this VM's address to peers that listen on `port`. Peers to
+    /// which a connection fails are sent to `failures`.
+    pub fn new(
+        local_address: IpAddr,
+        port: u16,
+        data_centre: id::DataCentre,
+        failures: mpsc::UnboundedSender<ConnectFailure>,
+    ) -> Self {
         Self {
             local_address,
             port,
             data_centre,
-            links: RefCell::default(),
+            links: Rc::default(),
             unresponsive: Rc::default(),
-            connect_locks: RefCell::default(),
+            connecting: Rc::new(Connecting::new(failures)),
             last_request_number: Cell::default(),
             is_leaving: Cell::default(),
         }
@@ -251,23 +263,36 @@
         link.filter(|link| !link.is_broken.get())
     }
 
+    /// Opens a link to a peer unless there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer can't be reached.
+    pub async fn connect(&self, host: IpAddr) -> Result<(), Error> {
+        self.link(host).await.map(drop).map_err(|error| Error::Unreachable(host, error))
+    }
+
+    /// Returns the link to a peer. Concurrent requests share one attempt to connect and its result.
     async fn link(&self, host: IpAddr) -> io::Result<Rc<Link>> {
         if let Some(link) = self.open_link(host) {
             return Ok(link);
         }
-        // The lock makes concurrent requests share one new link instead of opening one each.
-        let lock = self.connect_locks.borrow_mut().entry(host).or_default().clone();
-        let _guard = lock.lock().await;
-        if let Some(link) = self.open_link(host) {
-            return Ok(link);
+        self.connecting.join(host, || self.open(host)).await
+    }
+
+    /// Connects to a peer.
+    fn open(&self, host: IpAddr) -> impl Future<Output = io::Result<Rc<Link>>> + use<> {
+        let connecting = socket::connect_from(self.local_address, SocketAddr::new(host, self.port));
+        let hello = self.hello();
+        let (links, unresponsive) = (self.links.clone(), self.unresponsive.clone());
+        async move {
+            let link = start_link(connecting.await?, host, unresponsive);
+            // The writer runs until the link breaks, so this fails only if the link is already
+            // broken.
+            let _ = link.queue(frame::encode(0, hello, Bytes::new())?);
+            links.borrow_mut().insert(host, link.clone());
+            Ok(link)
         }
-        let stream =
-            socket::connect_from(self.local_address, SocketAddr::new(host, self.port)).await?;
-        let link = start_link(stream, host, self.unresponsive.clone());
-        // The writer runs until the link breaks, so this fails only if the link is already broken.
-        let _ = link.queue(frame::encode(0, self.hello(), Bytes::new())?);
-        self.links.borrow_mut().insert(host, link.clone());
-        Ok(link)
     }
 }
 
@@ -379,91 +404,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use {
-        super::*,
-        std::net::Ipv4Addr,
-        tokio::{net::TcpListener, task::LocalSet},
-    };
-
-    const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
-
-    /// Guards against a request that counts as sent although the peer never got all of it, and
-    /// against one that counts as not sent although the peer can still read it whole.
-    #[tokio::test]
-    async fn stalled_link() {
-        let test = async {
-            let listener = TcpListener::bind((HOST, 0)).await.expect("a free port");
-            let port = listener.local_addr().expect("the address").port();
-            let links = Links::new(HOST, port, "dc-1".parse().expect("a name"));
-            let demand = || PeerRequest::Facts { after: Default::default(), wait_ms: 1 };
-            // More than the buffers of both sockets hold.
-            let large = Bytes::from(vec![0; 64 << 20]);
-            let sent = links.request(HOST, demand(), Bytes::new());
-            let cut = async {
-                // The first request is sent before the large one fills the connection.
-                tokio::time::sleep(PING_AFTER / 5).await;
-                links.request(HOST, demand(), large).await
-            };
-            let queued = async {
-                tokio::time::sleep(PING_AFTER / 2).await;
-                links.request(HOST, demand(), Bytes::new()).await
-            };
-            let (accepted, sent, cut, queued) = tokio::join!(listener.accept(), sent, cut, queued);
-            assert!(matches!(sent, Err(Error::TimedOut(_))), "{sent:?}");
-            assert!(matches!(cut, Err(Error::NotSent(_))), "{cut:?}");
-            assert!(matches!(queued, Err(Error::NotSent(_))), "{queued:?}");
-            // What is left in the buffers arrives after the sender gave up.
-            let (mut stream, _) = accepted.expect("a connection");
-            let mut buffer = BytesMut::new();
-            let mut requests = Vec::new();
-            while let Ok(received) = frame::read::<PeerRequest>(&mut stream, &mut buffer).await {
-                requests.push(received.envelope.number);
-            }
-            assert_eq!(requests, [0, 1], "the hello and the first request");
-        };
-        LocalSet::new().run_until(test).await;
-    }
-
-    /// Answers pings on one link until it is cut, and counts them.
-    async fn answer_pings(listener: TcpListener, pings: Rc<Cell<u32>>, is_cut: Rc<Cell<bool>>) {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let mut buffer = BytesMut::new();
-        while let Ok(received) = frame::read::<PeerRequest>(&mut stream, &mut buffer).await {
-            if matches!(received.envelope.message, PeerRequest::Ping) && !is_cut.get() {
-                pings.set(pings.get() + 1);
-                let pong = frame::encode(0, PeerResponse::Pong, Bytes::new()).expect("a frame");
-                stream.write_all(&pong.head).await.expect("the link is open");
-            }
-        }
-    }
-
-    /// Guards against a request that may not run twice and is sent over a link that was cut, and
-    /// against a ping for each of many requests.
-    #[tokio::test]
-    async fn silent_link() {
-        let test = async {
-            let listener = TcpListener::bind((HOST, 0)).await.expect("a free port");
-            let port = listener.local_addr().expect("the address").port();
-            let links = Links::new(HOST, port, "dc-1".parse().expect("a name"));
-            let (pings, is_cut) = (Rc::<Cell<u32>>::default(), Rc::<Cell<bool>>::default());
-            tokio::task::spawn_local(answer_pings(listener, pings.clone(), is_cut.clone()));
-            let confirm = || links.confirm(HOST, Duration::from_secs(1));
-            for expected in [1, 2] {
-                let (first, second) = tokio::join!(confirm(), confirm());
-                assert!(first.is_ok() && second.is_ok() && confirm().await.is_ok());
-                assert_eq!(pings.get(), expected);
-                tokio::time::sleep(liveness::MAX_SILENCE).await;
-            }
-            is_cut.set(true);
-            let began = Instant::now();
-            let hasty = links.confirm(HOST, Duration::from_millis(80)).await;
-            assert!(matches!(hasty, Err(Error::Silent(_))), "{hasty:?}");
-            assert!(began.elapsed() < liveness::MAX_SILENCE, "{:?}", began.elapsed());
-            assert!(matches!(confirm().await, Err(Error::Silent(_))));
-        };
-        LocalSet::new().run_until(test).await;
-    }
-}
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -223,16 +223,22 @@
         objective: Duration,
         request: &Request,
     ) -> (RunResult, Bytes, Option<Vec<PoolLoad>>, Option<Cause>) {
-        if !forwarded.is_idempotent {
-            let began = clock::now();
-            if let Err(error) = self.links.confirm(attempt.host, objective).await {
+        let began = clock::now();
+        let reached = self.reach_peer(attempt.host, forwarded.is_idempotent, objective);
+        match tokio::time::timeout(forwarded.remaining, reached).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
                 let (result, cause) = self.link_failure(attempt.host, &error);
                 return (result, Bytes::new(), None, cause);
             }
-            let waited = clock::now() - began;
-            forwarded.remaining = forwarded.remaining.saturating_sub(waited);
-            forwarded.objective = forwarded.objective.saturating_sub(waited);
+            Err(_) => {
+                let refusal = Refusal::not_run(Reason::Deadline);
+                return (RunResult::Refused(refusal), Bytes::new(), None, None);
+            }
         }
+        let waited = clock::now() - began;
+        forwarded.remaining = forwarded.remaining.saturating_sub(waited);
+        forwarded.objective = forwarded.objective.saturating_sub(waited);
         let supplement = Supplement::of_run(&forwarded);
         let run = PeerRequest::Run {
             forwarded,
@@ -287,6 +293,20 @@
         }
     }
 
+    /// Opens a link to a peer if there is none, and makes sure that messages arrive on it if the request
+    /// to be sent may not run twice.
+    async fn reach_peer(
+        &self,
+        host: IpAddr,
+        is_idempotent: bool,
+        objective: Duration,
+    ) -> Result<(), link::Error> {
+        match is_idempotent {
+            true => self.links.connect(host).await,
+            false => self.links.confirm(host, objective).await,
+        }
+    }
+
     /// Returns the result of a request whose link failed, and why its outcome is unknown, if it is.
     fn link_failure(&self, host: IpAddr, error: &link::Error) -> (RunResult, Option<Cause>) {
         // A peer that is silent for a moment may be out of CPU time, and stays in use for others.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod audit;
 pub mod client;
+pub mod dark;
 pub mod fleet;
 pub mod load;
 pub mod mesh;
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -88,6 +88,11 @@
         self.socket_address(OUTBOUND)
     }
 
+    /// Returns the address of the node's listener for its peers.
+    pub fn inbound(&self) -> SocketAddr {
+        self.socket_address(INBOUND)
+    }
+
     /// Returns whether the node's readiness check succeeds.
     pub async fn is_ready(&self) -> bool {
         let request = Request::new("GET", "/v1/readiness", "ready");
