--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -38,6 +38,10 @@
     Declines(u32),
     /// Declines each request when it first arrives, and executes it when it arrives again.
     DeclinesFirst,
+    /// Executes each request and declares it not executed, in an answer without an id.
+    DeclinesAnonymously,
+    /// Sends only this many bytes of the answer, or all but the last one, and closes the connection.
+    Stops(usize),
     /// Resets the connection after the service time.
     Resets,
     /// Closes the connection before the end of the answer's body.
@@ -429,6 +433,13 @@
         | Behaviour::Rejects
         | Behaviour::NeverReads => response("200 OK", id),
         Behaviour::Fails => response("500 Failed", id),
+        Behaviour::DeclinesAnonymously => {
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into()
+        }
+        Behaviour::Stops(length) => {
+            let response = response("200 OK", id);
+            response[..length.min(response.len() - 1)].to_owned()
+        }
         Behaviour::WrongId => response("200 OK", "another"),
         Behaviour::ExtraAnswer => response("200 OK", id) + &response("200 OK", "extra"),
         Behaviour::Garbage => "no answer at all\r\n\r\n".into(),
@@ -454,7 +465,9 @@
     };
     stream.write_all(bytes.as_bytes()).await.ok()?;
     match behaviour {
-        Behaviour::Truncates | Behaviour::Unframed | Behaviour::Garbage => None,
+        Behaviour::Garbage | Behaviour::Stops(_) | Behaviour::Truncates | Behaviour::Unframed => {
+            None
+        }
         _ => Some(()),
     }
 }
