--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -64,9 +64,13 @@
     /// Returns the header fields that the node adds to a request for a target.
     fn added_fields(&self, forwarded: &ForwardedRequest) -> Vec<Field>;
 
-    /// Interprets a target's response from its status and `headers`.
-    fn classify_response(&self, request: &str, status: u16, headers: &HeaderMap)
-    -> ResponseVerdict;
+    /// Interprets a target's response to a request from its status and `headers`.
+    fn classify_response(
+        &self,
+        forwarded: &ForwardedRequest,
+        status: u16,
+        headers: &HeaderMap,
+    ) -> ResponseVerdict;
 
     /// Returns what a target says about itself in the end-to-end `fields` of a response.
     fn announcement(&self, fields: &[Field]) -> Announcement;
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -179,7 +179,7 @@
                 return ExchangeResult::MayHaveRun(Cause::TargetDeadline, "body timed out".into());
             }
         };
-        match header_adapter.classify_response(&forwarded.request, status, &headers) {
+        match header_adapter.classify_response(forwarded, status, &headers) {
             ResponseVerdict::Mismatched => {
                 connection.set_ending(Ending::Broken);
                 ExchangeResult::MayHaveRun(
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -40,6 +40,8 @@
     DeclinesFirst,
     /// Executes each request and declares it not executed, in an answer without an id.
     DeclinesAnonymously,
+    /// Executes each request and answers with this status, without declaring it not executed.
+    FailsWith(u16),
     /// Sends only this many bytes of the answer, or all but the last one, and closes the connection.
     Stops(usize),
     /// Resets the connection after the service time.
@@ -433,6 +435,7 @@
         | Behaviour::Rejects
         | Behaviour::NeverReads => response("200 OK", id),
         Behaviour::Fails => response("500 Failed", id),
+        Behaviour::FailsWith(status) => response(&format!("{status} Failed"), id),
         Behaviour::DeclinesAnonymously => {
             "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into()
         }
