fleet: an unknown pool takes no address from a target of a known one

A server got no requests while an entry of another writer named its address with a service that the configuration does not know and a later start; callers got 503.

Cause: an address belongs to the target that started last, whatever its pool, and the entry of the other one is forgotten until it changes.

Change: an entry of an unknown pool takes no address from one of a known pool, and gives it back when the configuration becomes known later.

--- a/lib/src/mesh/fact.rs
+++ b/lib/src/mesh/fact.rs
@@ -185,6 +185,14 @@
         self.position
     }
 
+    /// Returns the targets that have an entry.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.entries.values().filter_map(|entry| match &entry.fact.value {
+            Value::Target(target) => Some(target),
+            _ => None,
+        })
+    }
+
     /// Records that all facts up to a position are in the store. The position never goes back.
     pub fn advance_position(&mut self, to: Position) {
         self.position = self.position.max(to);
--- a/lib/src/mesh/fleet.rs
+++ b/lib/src/mesh/fleet.rs
@@ -5,13 +5,21 @@
 //! target may also be partitioned from the platform alone. Therefore the node on the VM of each
 //! target whose entry was removed is asked, and the target is kept while that node vouches for it.
 //!
+//! An address belongs to one target at a time, the one that started last. An entry of another writer
+//! may name a pool that the configuration does not know; it takes no address from a target of one
+//! that it knows.
+//!
 //! A target that says in a response that it is leaving stays so for the rest of its incarnation,
 //! whatever its entry says: the entry may be late, or come from a copy of the store.
 
 use {
     super::fact::Target,
     crate::{id, time::Instant},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// How long removed entries are kept after the platform has recovered from an outage. Live targets
@@ -48,12 +56,39 @@
 pub struct Fleet {
     entries: BTreeMap<id::Vm, Entry>,
     departures: BTreeMap<id::Vm, Departure>,
+    /// The pools that the configuration knows. Empty as long as there is none.
+    pools: BTreeSet<id::Pool>,
     last_outage: Option<Instant>,
 }
 
 impl Fleet {
-    /// Adds or replaces the entry of a target. It stays leaving if this incarnation announced that.
+    /// Sets the pools that the configuration knows. Of the `listed` targets, those that lost their
+    /// addresses to targets of unknown pools get them back.
+    pub fn set_pools(&mut self, now: Instant, pools: BTreeSet<id::Pool>, listed: Vec<Target>) {
+        self.pools = pools;
+        for target in listed {
+            let is_displaced = self.get(&target.name).is_none()
+                && self.by_address(target.address).is_some_and(|other| !self.is_known(other));
+            if is_displaced && self.is_known(&target) {
+                self.put(now, target);
+            }
+        }
+    }
+
+    fn is_known(&self, target: &Target) -> bool {
+        self.pools.contains(&target.pool)
+    }
+
+    /// Adds or replaces the entry of a target. It stays leaving if this incarnation announced that. It
+    /// has no effect if the pool is unknown and the address belongs to a target of a known one.
     pub fn put(&mut self, now: Instant, mut target: Target) {
+        let is_known = self.is_known(&target);
+        let is_other =
+            |other: &Target| other.address == target.address && other.name != target.name;
+        if !is_known && self.iter().any(|other| is_other(other) && self.is_known(other)) {
+            self.entries.remove(&target.name);
+            return;
+        }
         let departure = self.departures.get(&target.name).copied();
         let departure = departure.filter(|known| known.started_at_ms >= target.started_at_ms);
         if departure.is_none() {
@@ -65,12 +100,13 @@
         let known_since = same.and_then(|entry| entry.leaving_since);
         let known_since = known_since.or(departure.map(|known| known.announced_at));
         let leaving_since = target.is_leaving.then(|| known_since.unwrap_or(now));
-        // An address belongs to one instance at a time. The entry of an earlier instance may still
-        // be published for a while.
+        // The entry of an earlier instance may still be published for a while.
+        let pools = &self.pools;
         self.entries.retain(|name, entry| {
+            let is_later = entry.target.started_at_ms > target.started_at_ms;
             *name == target.name
                 || entry.target.address != target.address
-                || entry.target.started_at_ms > target.started_at_ms
+                || (is_later && pools.contains(&entry.target.pool) == is_known)
         });
         let entry = Entry { target, leaving_since, kept_until: None };
         self.entries.insert(entry.target.name.clone(), entry);
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -164,6 +164,8 @@
                         let cold_limit = table.cold_limit(&self.settings.pool);
                         self.gate.cold_mut().set_limit(now, cold_limit);
                         self.resend_budgets.retain(|pool, _| table.pools().contains(pool));
+                        let listed = self.facts.targets().cloned().collect();
+                        self.fleet.set_pools(now, table.known_pools(), listed);
                         self.table = Some(Arc::new(table));
                     }
                     Err(error) => {
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -266,6 +266,12 @@
         &self.pools
     }
 
+    /// Returns the pools of all routes, and those that the operator lists without one.
+    pub fn known_pools(&self) -> BTreeSet<id::Pool> {
+        let limited = self.cold.iter().flat_map(BTreeMap::keys);
+        self.pools.iter().chain(self.health.keys()).chain(limited).cloned().collect()
+    }
+
     /// Returns the client accounts by name.
     pub fn accounts(&self) -> &BTreeMap<id::Account, Arc<Account>> {
         &self.accounts
--- a/lib/tests/mesh_facts.rs
+++ b/lib/tests/mesh_facts.rs
@@ -107,6 +107,36 @@
     assert_eq!(current.name.as_str(), "t2");
 }
 
+/// Guards against an entry of another writer that takes the address of a target, before or after the
+/// configuration is known.
+#[test]
+fn unknown_pool() {
+    let entry = target("t1", "10.0.0.1:80", 10);
+    let foreign =
+        Target { pool: "nobody".parse().expect("a name"), ..target("odd", "10.0.0.1:80", 20) };
+    let names = |fleet: &Fleet| -> Vec<String> {
+        fleet.iter().map(|target| target.name.as_str().to_owned()).collect()
+    };
+    let entries = [entry.clone(), foreign.clone()];
+    for order in [[0, 1], [1, 0]] {
+        let pools = BTreeSet::from([entry.pool.clone()]);
+        let mut fleet = Fleet::default();
+        order.into_iter().for_each(|index| fleet.put(at(0), entries[index].clone()));
+        fleet.set_pools(at(1), pools.clone(), entries.to_vec());
+        fleet.put(at(2), foreign.clone());
+        assert_eq!(names(&fleet), ["t1"], "configuration last, {order:?}");
+        let mut fleet = Fleet::default();
+        fleet.set_pools(at(0), pools, Vec::new());
+        order.into_iter().for_each(|index| fleet.put(at(1), entries[index].clone()));
+        assert_eq!(names(&fleet), ["t1"], "configuration first, {order:?}");
+        // The address belongs to a target of another pool once the operator lists that.
+        let pools = BTreeSet::from([entry.pool.clone(), foreign.pool.clone()]);
+        fleet.set_pools(at(2), pools, entries.to_vec());
+        fleet.put(at(3), foreign.clone());
+        assert_eq!(names(&fleet), ["odd"], "both known, {order:?}");
+    }
+}
+
 #[test]
 fn removal_during_outage() {
     let mut fleet = Fleet::default();
