--- a/testutils/src/bin/monsoon-soak.rs
+++ b/testutils/src/bin/monsoon-soak.rs
@@ -30,6 +30,9 @@
     /// also play times in which the last pool declines a part of its requests
     #[argh(switch)]
     declines: bool,
+    #[argh(switch)]
+    /// with --declines: servers send each decline once more, late
+    repeats: bool,
     /// a directory for the logs of seeds with violations
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -42,6 +45,7 @@
         is_cold_enabled: arguments.cold,
         is_evacuation_enabled: arguments.evacuations,
         is_decline_enabled: arguments.declines,
+        is_repeat_enabled: arguments.repeats,
     };
     let mut failed = 0;
     for seed in arguments.from..arguments.from + arguments.count {
--- a/testutils/src/mesh/soak/plan.rs
+++ b/testutils/src/mesh/soak/plan.rs
@@ -12,6 +12,8 @@
     pub is_evacuation_enabled: bool,
     /// Whether the last pool declines a part of its requests for some time.
     pub is_decline_enabled: bool,
+    /// Whether servers that decline requests send each of these answers once more, late.
+    pub is_repeat_enabled: bool,
 }
 
 /// A fault of a plan.
--- a/testutils/src/mesh/soak/schedule/decline.rs
+++ b/testutils/src/mesh/soak/schedule/decline.rs
@@ -23,6 +23,7 @@
             self.record(&format!("server of m{machine} declines {DECLINED_PERCENT} %"));
             let server = &self.deployment.machines[machine].server;
             server.set_behaviour(Behaviour::Declines(DECLINED_PERCENT), SERVICE_TIME);
+            server.set_repeats_declines(self.plan.is_repeat_enabled);
             self.schedule(DECLINE_TIME, Event::EndDecline(machine));
         }
     }
@@ -32,5 +33,6 @@
         self.impaired[machine] = false;
         let server = &self.deployment.machines[machine].server;
         server.set_behaviour(Behaviour::Normal, SERVICE_TIME);
+        server.set_repeats_declines(false);
     }
 }
