relay: end requests to a silent peer soon after their deadline

Callers with short deadlines waited about a second longer when the node of their target fell silent, for instance frozen or behind a cut, until the link was given up after 1.3 s.

Cause: a request that was sent to a peer waits for the response or the end of the link, and nothing compares that with its deadline.

Change: 250 ms after the deadline the request ends with an unknown outcome if no message has come from the peer for 550 ms, and the peer is left out as unreachable. A peer that shows signs of life, such as answers to pings, may still deliver a late response.

--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -258,6 +258,13 @@
         self.unresponsive.borrow()
     }
 
+    /// Returns whether no message has come from a peer for so long that other peers are preferred,
+    /// although requests to it are pending.
+    pub fn is_silent(&self, host: IpAddr) -> bool {
+        let link = self.open_link(host);
+        link.is_none_or(|link| link.last_received.get().elapsed() >= UNRESPONSIVE_AFTER)
+    }
+
     fn open_link(&self, host: IpAddr) -> Option<Rc<Link>> {
         let link = self.links.borrow().get(&host).cloned();
         link.filter(|link| !link.is_broken.get())
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -22,9 +22,15 @@
         },
         time::Instant,
     },
-    std::{cell::Cell, net::IpAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, net::IpAddr, pin::pin, rc::Rc, time::Duration},
 };
 
+/// How long after the deadline the response of a target's node may arrive. That node waits for its
+/// target a little longer than the deadline.
+const LATE_RESPONSE_TIME: Duration = Duration::from_millis(250);
+/// How often a request whose response is late checks whether the target's node is silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The outcome of a request for its caller.
 #[derive(Debug)]
 pub enum Reply {
@@ -239,6 +245,7 @@
         let waited = clock::now() - began;
         forwarded.remaining = forwarded.remaining.saturating_sub(waited);
         forwarded.objective = forwarded.objective.saturating_sub(waited);
+        let late_at = tokio::time::Instant::now() + forwarded.remaining + LATE_RESPONSE_TIME;
         let supplement = Supplement::of_run(&forwarded);
         let run = PeerRequest::Run {
             forwarded,
@@ -248,7 +255,13 @@
         };
         let attachments = Attachments { extension: None, supplement: supplement.as_ref() };
         let response =
-            self.links.request_with(attempt.host, run, attachments, request.body.clone()).await;
+            self.links.request_with(attempt.host, run, attachments, request.body.clone());
+        let Some(response) = self.response_unless_silent(attempt.host, late_at, response).await
+        else {
+            self.mark_peer_unreachable(attempt.host, "silent at the deadline of a request");
+            let result = RunResult::MayHaveRun(Reason::Deadline);
+            return (result, Bytes::new(), None, Some(Cause::LinkTimeout));
+        };
         match response {
             Ok(Response {
                 message: PeerResponse::RunFinished { result, load, is_traced },
@@ -307,6 +320,25 @@
         }
     }
 
+    /// Waits for the response of a peer. Returns `None` if the peer is silent at `late_at` or later;
+    /// otherwise a late response is worth waiting for.
+    async fn response_unless_silent<T>(
+        &self,
+        host: IpAddr,
+        late_at: tokio::time::Instant,
+        response: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut response = pin!(response);
+        let mut check_at = late_at;
+        loop {
+            match tokio::time::timeout_at(check_at, response.as_mut()).await {
+                Ok(response) => return Some(response),
+                Err(_) if self.links.is_silent(host) => return None,
+                Err(_) => check_at += SILENCE_CHECK_INTERVAL,
+            }
+        }
+    }
+
     /// Returns the result of a request whose link failed, and why its outcome is unknown, if it is.
     fn link_failure(&self, host: IpAddr, error: &link::Error) -> (RunResult, Option<Cause>) {
         // A peer that is silent for a moment may be out of CPU time, and stays in use for others.
