--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -37,7 +37,7 @@
     },
 };
 
-pub use connecting::ConnectFailure;
+pub use connecting::Failure;
 
 /// The time without a message from a peer, while requests are pending, after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(250);
@@ -140,7 +140,7 @@
         local_address: IpAddr,
         port: u16,
         data_centre: id::DataCentre,
-        failures: mpsc::UnboundedSender<ConnectFailure>,
+        failures: mpsc::UnboundedSender<Failure>,
     ) -> Self {
         Self {
             local_address,
--- a/daemon/src/mesh/link/connecting.rs
+++ b/daemon/src/mesh/link/connecting.rs
@@ -11,7 +11,7 @@
 
 /// A peer to which a connection could not be established.
 #[derive(Debug)]
-pub struct ConnectFailure {
+pub struct Failure {
     /// The address of the peer.
     pub host: IpAddr,
     /// The error of the operating system, or a timeout.
@@ -24,13 +24,13 @@
 /// The attempts in progress, at most one per peer.
 pub struct Connecting {
     attempts: RefCell<HashMap<IpAddr, watch::Receiver<Outcome>>>,
-    failures: mpsc::UnboundedSender<ConnectFailure>,
+    failures: mpsc::UnboundedSender<Failure>,
 }
 
 impl Connecting {
     /// Creates the set without attempts. Each attempt that fails is sent to `failures` once, whoever
     /// still waits for it.
-    pub fn new(failures: mpsc::UnboundedSender<ConnectFailure>) -> Self {
+    pub fn new(failures: mpsc::UnboundedSender<Failure>) -> Self {
         Self { attempts: RefCell::default(), failures }
     }
 
@@ -70,7 +70,7 @@
             connecting.attempts.borrow_mut().remove(&host);
             if let Err(error) = &result {
                 // The receiver is gone only while the process is ending.
-                let _ = connecting.failures.send(ConnectFailure { host, error: error.clone() });
+                let _ = connecting.failures.send(Failure { host, error: error.clone() });
             }
             sender.send_replace(Some(result));
         });
--- a/daemon/src/mesh/link/tests.rs
+++ b/daemon/src/mesh/link/tests.rs
@@ -2,14 +2,14 @@
 
 use {
     super::*,
-    monsoon_testutils::dark::DarkListener,
+    monsoon_testutils::dark,
     std::net::Ipv4Addr,
     tokio::{net::TcpListener, task::LocalSet},
 };
 
 const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
-fn links(port: u16) -> (Links, mpsc::UnboundedReceiver<ConnectFailure>) {
+fn links(port: u16) -> (Links, mpsc::UnboundedReceiver<Failure>) {
     let (failures, failed) = mpsc::unbounded_channel();
     (Links::new(HOST, port, "dc-1".parse().expect("a name"), failures), failed)
 }
@@ -96,7 +96,7 @@
 #[tokio::test]
 async fn dark_peer() {
     let test = async {
-        let dark = DarkListener::start((HOST, 0).into()).await.expect("a dark address");
+        let dark = dark::Listener::start((HOST, 0).into()).await.expect("a dark address");
         let (links, mut failed) = links(dark.address().expect("the address").port());
         let began = Instant::now();
         let requests = (0..20).map(|_| links.request(HOST, PeerRequest::Ping, Bytes::new()));
--- a/daemon/src/mesh/target/connection.rs
+++ b/daemon/src/mesh/target/connection.rs
@@ -105,13 +105,13 @@
     /// What is known of the current exchange.
     pub exchange: Rc<Exchange>,
     task: JoinHandle<()>,
-    declined: RefCell<Vec<DeclinedRequest>>,
+    declined: RefCell<Vec<Decline>>,
     ending: Cell<Ending>,
     counters: Counters,
 }
 
 /// A request that the target declined on a connection.
-struct DeclinedRequest {
+struct Decline {
     /// The hash of the request id. If two are equal, a connection is left out without need.
     id_hash: u64,
     /// Until when the request may be sent again.
@@ -149,7 +149,7 @@
         let now = Instant::now();
         let mut declined = self.declined.borrow_mut();
         declined.retain(|earlier| earlier.deadline > now);
-        declined.push(DeclinedRequest { id_hash: hash_id(request), deadline });
+        declined.push(Decline { id_hash: hash_id(request), deadline });
         declined.len() <= MAX_DECLINED_REQUESTS
     }
 
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -5,7 +5,7 @@
         Mesh,
         adapter::{Directory, HeaderAdapter},
         frame::{PeerRequest, PeerResponse},
-        link::ConnectFailure,
+        link::Failure,
         sync::PEER_RESPONSE_GRACE,
     },
     crate::clock,
@@ -85,11 +85,8 @@
 
     /// Marks peers to which connections fail as unreachable, for as long as the process runs. The
     /// requests that needed them may have ended before.
-    pub async fn mark_failed_peers(
-        self: Rc<Self>,
-        mut failed: mpsc::UnboundedReceiver<ConnectFailure>,
-    ) {
-        while let Some(ConnectFailure { host, error }) = failed.recv().await {
+    pub async fn mark_failed_peers(self: Rc<Self>, mut failed: mpsc::UnboundedReceiver<Failure>) {
+        while let Some(Failure { host, error }) = failed.recv().await {
             self.mark_peer_unreachable(host, &error.to_string());
         }
     }
--- a/testutils/src/dark.rs
+++ b/testutils/src/dark.rs
@@ -12,12 +12,12 @@
 
 /// A listener whose queue of new connections is full and stays so until it is dropped.
 #[derive(Debug)]
-pub struct DarkListener {
+pub struct Listener {
     listener: TcpListener,
     queued: Vec<TcpStream>,
 }
 
-impl DarkListener {
+impl Listener {
     /// Listens on an address and fills the queue. Port 0 stands for any free port.
     ///
     /// # Errors
