link: requests do not fail with an attempt from before their peer started

The first packet is lost, and requests that come later share that attempt and fail with it, though the peer has started; every failure also marked the peer as unreachable for half a second, where earlier only a request did that.

--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -37,8 +37,6 @@
     },
 };
 
-pub use connecting::Failure;
-
 /// The time without a message from a peer, while requests are pending, after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(250);
 /// The time without a message after which other peers are preferred. It is long enough that a node
@@ -134,21 +132,15 @@
 }
 
 impl Links {
-    /// Creates the set of links from this VM's address to peers that listen on `port`. Peers to
-    /// which a connection fails are sent to `failures`.
-    pub fn new(
-        local_address: IpAddr,
-        port: u16,
-        data_centre: id::DataCentre,
-        failures: mpsc::UnboundedSender<Failure>,
-    ) -> Self {
+    /// Creates the set of links from this VM's address to peers that listen on `port`.
+    pub fn new(local_address: IpAddr, port: u16, data_centre: id::DataCentre) -> Self {
         Self {
             local_address,
             port,
             data_centre,
             links: Rc::default(),
             unresponsive: Rc::default(),
-            connecting: Rc::new(Connecting::new(failures)),
+            connecting: Rc::default(),
             last_request_number: Cell::default(),
             is_leaving: Cell::default(),
         }
@@ -279,7 +271,7 @@
         self.link(host).await.map(drop).map_err(|error| Error::Unreachable(host, error))
     }
 
-    /// Returns the link to a peer. Concurrent requests share one attempt to connect and its result.
+    /// Returns the link to a peer. Concurrent requests share attempts to connect and their results.
     async fn link(&self, host: IpAddr) -> io::Result<Rc<Link>> {
         if let Some(link) = self.open_link(host) {
             return Ok(link);
@@ -289,7 +281,8 @@
 
     /// Connects to a peer.
     fn open(&self, host: IpAddr) -> impl Future<Output = io::Result<Rc<Link>>> + use<> {
-        let connecting = socket::connect_from(self.local_address, SocketAddr::new(host, self.port));
+        let address = SocketAddr::new(host, self.port);
+        let connecting = socket::connect_repeatedly(self.local_address, address);
         let hello = self.hello();
         let (links, unresponsive) = (self.links.clone(), self.unresponsive.clone());
         async move {
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -25,7 +25,7 @@
     tokio::{
         net::TcpListener,
         signal::unix::{SignalKind, signal},
-        sync::{Notify, mpsc, watch},
+        sync::{Notify, watch},
         task::JoinHandle,
         time::Instant,
     },
@@ -99,10 +99,8 @@
     let readiness = bind_listener("readiness", settings.readiness_address).await?;
     let data_centre = settings.node.data_centre.clone();
     let metrics = Metrics::new()?;
-    let (failures, failed) = mpsc::unbounded_channel();
-    let port = settings.peer_address.port();
     let mesh = Rc::new(Mesh {
-        links: Links::new(settings.node.host, port, data_centre, failures),
+        links: Links::new(settings.node.host, settings.peer_address.port(), data_centre),
         target: Target::new(settings.node.target, metrics.connections().clone()),
         node: RefCell::new(Node::new(settings.node, rand::random())),
         header_adapter,
@@ -138,7 +136,6 @@
         spawn_listener(bind_listener("metrics", address).await?, ListenerKind::Metrics);
     }
     tokio::task::spawn_local(peers::serve(mesh.clone(), peers_listener));
-    tokio::task::spawn_local(mesh.clone().mark_failed_peers(failed));
     mesh.start_sync_tasks();
     let startup_mesh = mesh.clone();
     tokio::task::spawn_local(async move {
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -223,7 +223,7 @@
     /// Runs a request on a peer's target. Returns the result, the body of the response, and the loads
     /// of pools if the peer's gate decided on the request. `objective` is that of the route.
     async fn run_on_peer(
-        &self,
+        self: &Rc<Self>,
         attempt: &Attempt,
         mut forwarded: ForwardedRequest,
         objective: Duration,
@@ -238,6 +238,7 @@
                 return (result, Bytes::new(), None, cause);
             }
             Err(_) => {
+                tokio::task::spawn_local(self.clone().learn_whether_reachable(attempt.host));
                 let refusal = Refusal::not_run(Reason::Deadline);
                 return (RunResult::Refused(refusal), Bytes::new(), None, None);
             }
@@ -320,6 +321,14 @@
         }
     }
 
+    /// Waits for the attempt to connect to a peer that a request could not wait for, so that later
+    /// requests do without the peer if it fails.
+    async fn learn_whether_reachable(self: Rc<Self>, host: IpAddr) {
+        if let Err(error) = self.links.connect(host).await {
+            self.mark_peer_unreachable(host, &error.to_string());
+        }
+    }
+
     /// Waits for the response of a peer. Returns `None` if the peer is silent at `late_at` or later;
     /// otherwise a late response is worth waiting for.
     async fn response_unless_silent<T>(
--- a/daemon/src/mesh/socket.rs
+++ b/daemon/src/mesh/socket.rs
@@ -12,6 +12,10 @@
 
 /// The timeout for establishing a connection. Within a region this takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How many connections to a peer are tried within that time if none is established. If the first
+/// packet of one is lost, for instance since the peer is just starting, the operating system repeats it
+/// only after a second.
+const CONNECT_TRIES: u32 = 3;
 /// How long sent data may stay unacknowledged before the connection is closed. A peer that becomes
 /// unreachable sends no reset.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -45,6 +49,23 @@
     connect_with_options(socket.connect(address)).await
 }
 
+/// Opens such a connection, and another one instead whenever it is not established in a part of the
+/// time.
+///
+/// # Errors
+///
+/// Fails if the peer rejects a connection, or if none can be established in time.
+pub async fn connect_repeatedly(from: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    for _ in 0..CONNECT_TRIES {
+        let connecting = connect_from(from, address);
+        match tokio::time::timeout(CONNECT_TIMEOUT / CONNECT_TRIES, connecting).await {
+            Ok(result) => return result,
+            Err(_) => log::debug!(address:% = address; "connection was not established in time"),
+        }
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
+
 async fn connect_with_options(
     connecting: impl Future<Output = io::Result<TcpStream>>,
 ) -> io::Result<TcpStream> {
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -5,14 +5,12 @@
         Mesh,
         adapter::{Directory, HeaderAdapter},
         frame::{PeerRequest, PeerResponse},
-        link::Failure,
         sync::PEER_RESPONSE_GRACE,
     },
     crate::clock,
     bytes::Bytes,
     monsoon_lib::{mesh::quota, time::Instant, unit::Revision},
     std::{net::IpAddr, rc::Rc, time::Duration},
-    tokio::sync::mpsc,
 };
 
 /// How long the facts have to be behind the store before this is logged.
@@ -83,14 +81,6 @@
         }
     }
 
-    /// Marks peers to which connections fail as unreachable, for as long as the process runs. The
-    /// requests that needed them may have ended before.
-    pub async fn mark_failed_peers(self: Rc<Self>, mut failed: mpsc::UnboundedReceiver<Failure>) {
-        while let Some(Failure { host, error }) = failed.recv().await {
-            self.mark_peer_unreachable(host, &error.to_string());
-        }
-    }
-
     async fn ping_unreachable_peer(self: Rc<Self>, host: IpAddr) {
         if self.links.request(host, PeerRequest::Ping, Bytes::new()).await.is_ok() {
             log::info!(host:% = host; "peer is reachable again");
