--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -80,6 +80,8 @@
     is_closed_to_peers: Cell<bool>,
     state_changed: Notify,
     last_platform_read: Cell<Option<Instant>>,
+    /// Since when the last confirmation of the document has been too old, as far as it was logged.
+    stale_since: Cell<Option<Instant>>,
     /// Whether the document is to be read before the next regular read.
     is_read_due: Cell<bool>,
     /// Notified when the platform's store was restored, so that a waiting watch is given up.
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -88,6 +88,7 @@
     target_cold: IntGauge,
     held_back: IntCounter,
     confirmed_age: IntGauge,
+    stale: IntCounter,
     held_bytes: IntGauge,
     held_response_bytes: IntGauge,
 }
@@ -162,6 +163,11 @@
             "monsoon_confirmed_age_ms",
             "Age of the last proof that the tables are current.",
         )?;
+        let stale = IntCounter::new(
+            "monsoon_stale_facts_total",
+            "Times at which the last proof that the tables are current became too old.",
+        )?;
+        registry.register(Box::new(stale.clone()))?;
         let held_bytes = gauge("monsoon_held_body_bytes", "Bytes of request bodies in memory.")?;
         let held_response_bytes = gauge(
             "monsoon_held_response_bytes",
@@ -198,6 +204,7 @@
             target_cold,
             held_back,
             confirmed_age,
+            stale,
             held_bytes,
             held_response_bytes,
         })
@@ -213,6 +220,11 @@
         self.sent_to_target.inc();
     }
 
+    /// Counts a last confirmation of the tables that has become too old.
+    pub fn stale(&self) {
+        self.stale.inc();
+    }
+
     /// Returns the counters of the connections to the own target.
     pub fn connections(&self) -> &target::Counters {
         &self.connections
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -118,6 +118,7 @@
         is_closed_to_peers: Cell::default(),
         state_changed: Notify::new(),
         last_platform_read: Cell::default(),
+        stale_since: Cell::default(),
         is_read_due: Cell::default(),
         store_restored: Notify::new(),
         document_read: Notify::new(),
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -142,6 +142,36 @@
         self.node.borrow().lease().age(clock::now()).is_none_or(|age| age > STALE_AFTER)
     }
 
+    /// Logs when the last confirmation has become too old. Before the first one nothing is stale.
+    fn log_if_stale(&self) {
+        let now = clock::now();
+        let age = self.node.borrow().lease().age(now).filter(|age| *age >= STALE_AFTER);
+        if let Some(age) = age
+            && self.stale_since.get().is_none()
+        {
+            self.stale_since.set(Some(now));
+            self.metrics.stale();
+            let source = match self.source() {
+                Source::Peer(host) => host.to_string(),
+                Source::Platform => "platform".into(),
+            };
+            log::info!(
+                age_ms = age.as_millis() as u64, source, tables:% = self.table_revision();
+                "facts are stale"
+            );
+        }
+    }
+
+    /// Logs when a confirmation has ended the time without one.
+    fn log_if_confirmed(&self, from: &str) {
+        if !self.is_stale()
+            && let Some(since) = self.stale_since.take()
+        {
+            let stale_ms = (clock::now() - since).as_millis() as u64;
+            log::info!(stale_ms, from; "facts are confirmed again");
+        }
+    }
+
     fn table_revision(&self) -> Revision {
         self.node.borrow().table().map_or(Revision(0), |table| table.revision())
     }
@@ -263,6 +293,7 @@
         let mut schedule = ReadSchedule::default();
         let mut last_role = None;
         loop {
+            self.log_if_stale();
             let now = clock::now();
             let place = self.node.borrow().peers().place(now);
             let role = self.role(started);
@@ -312,6 +343,7 @@
         if changes != Changes::default() {
             self.on_changes(changes, "platform");
         }
+        self.log_if_confirmed("platform");
         // Peers that wait for facts get the confirmation.
         self.state_changed.notify_waiters();
     }
@@ -423,8 +455,9 @@
             changes
         };
         if changes != Changes::default() || update.position > query.after {
-            self.on_changes(changes, "peer");
+            self.on_changes(changes, &host.to_string());
         }
+        self.log_if_confirmed(&host.to_string());
         true
     }
 
