sync: search for news at several peers at once, and read the store early

A node follows the reader of its data centre and looks elsewhere when the last confirmation is 1.4 s old. 0.6 s are left then. It asked one peer at a time, each with up to 0.5 s, and its source every other time, so one more silent peer used the time up. Its own turn to read the store came 300 ms later for each node before it, after the time as well from the third on. Both bounds grow with the number of lost nodes.

The search now runs beside the request to the source, starts the moment the confirmation is too old, and sends requests 40 ms apart whether or not earlier ones were answered. Later requests are held by the peer for 300 ms, so news pass on at once. The first eight nodes of a data centre make one probe of the store 40 ms apart; further probes take turns as before, so that an outage of the store costs no more per second.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod replication;
 mod scarcity;
+mod search;
 mod socket;
 mod sync;
 mod target;
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -44,12 +44,7 @@
 /// The age of the last confirmation above which a node also asks peers other than its usual source.
 /// It exceeds the interval between two confirmations, and leaves time to find another source within
 /// the two seconds in which a new document has to be in force.
-const STALE_AFTER: Duration = Duration::from_millis(1_400);
-/// The delay between two peers that are asked for news of the platform.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
-/// The same delay for the first [`QUICK_SEARCHES`], among which are the readers of all data centres.
-const QUICK_SEARCH_INTERVAL: Duration = Duration::from_millis(40);
-const QUICK_SEARCHES: usize = 8;
+pub const STALE_AFTER: Duration = Duration::from_millis(1_400);
 /// How often a node looks whether it has to read the platform.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a starting node waits for entries of targets, by which it finds its peers. The targets
@@ -68,7 +63,8 @@
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Starts all tasks that keep the node's facts up to date.
     pub fn start_sync_tasks(self: &Rc<Self>) {
-        tokio::task::spawn_local(self.clone().sync_from_peers());
+        tokio::task::spawn_local(self.clone().follow_source());
+        tokio::task::spawn_local(self.clone().search_when_stale());
         tokio::task::spawn_local(self.clone().tick());
         let mesh = self.clone();
         tokio::task::spawn_local(async move {
@@ -138,8 +134,8 @@
 
     /// Returns whether it is so long since the last confirmation that this node asks other peers than
     /// its usual source.
-    fn is_stale(&self) -> bool {
-        self.node.borrow().lease().age(clock::now()).is_none_or(|age| age > STALE_AFTER)
+    pub fn is_stale(&self) -> bool {
+        self.node.borrow().lease().age(clock::now()).is_none_or(|age| age >= STALE_AFTER)
     }
 
     /// Logs when the last confirmation has become too old. Before the first one nothing is stale.
@@ -301,7 +297,7 @@
                 log::info!(role:% = role, rank = place.rank, nodes = place.nodes; "role changed");
             }
             if !schedule.is_due(now, role, place) && !self.is_read_due.take() {
-                tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+                tokio::time::sleep(self.until_role_check(now, schedule.next_read())).await;
                 continue;
             }
             match self.directory.document().await {
@@ -320,6 +316,13 @@
         }
     }
 
+    /// Returns how long to wait until this node looks again whether it has to read the platform.
+    fn until_role_check(&self, now: Instant, next_read: Option<Instant>) -> Duration {
+        let stale_at = self.node.borrow().lease().confirmed().map(|at| at + STALE_AFTER);
+        let next = [next_read, stale_at].into_iter().flatten().filter(|at| *at > now).min();
+        next.map_or(ROLE_CHECK_INTERVAL, |at| (at - now).min(ROLE_CHECK_INTERVAL))
+    }
+
     fn on_document(self: &Rc<Self>, requested_at: Instant, read: DocumentRead) {
         self.last_platform_read.set(Some(requested_at));
         let now = clock::now();
@@ -348,43 +351,15 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Requests facts from the peer that reads the platform for this node. If the last confirmation
-    /// is stale, asks all peers in turn instead.
-    async fn sync_from_peers(self: Rc<Self>) {
-        let mut next = 0;
+    /// Requests facts from the peer that reads the platform for this node.
+    async fn follow_source(self: Rc<Self>) {
         loop {
-            let age = self.node.borrow().lease().age(clock::now());
-            let until_stale = age.map_or(Duration::ZERO, |age| STALE_AFTER.saturating_sub(age));
-            let is_stale = until_stale.is_zero();
-            let source = match self.source() {
-                Source::Peer(host) => Some(host),
-                Source::Platform => None,
+            let is_fetched = match self.source() {
+                Source::Peer(host) => self.fetch_facts(host, PEER_LONG_POLL).await,
+                Source::Platform => false,
             };
-            let host = match is_stale {
-                false => {
-                    next = 0;
-                    source
-                }
-                // The usual source is asked every other time.
-                true => {
-                    let order = self.node.borrow().peers().search_order(clock::now());
-                    next += 1;
-                    let other = order.get((next / 2) % order.len().max(1)).copied();
-                    source.filter(|_| next % 2 == 0).or(other)
-                }
-            };
-            let wait = PEER_LONG_POLL.min(until_stale);
-            let is_fetched = match host {
-                Some(host) => self.fetch_facts(host, wait).await,
-                None => false,
-            };
-            match (is_fetched, is_stale) {
-                (true, false) => {}
-                (_, true) if next <= QUICK_SEARCHES => {
-                    tokio::time::sleep(QUICK_SEARCH_INTERVAL).await;
-                }
-                (_, true) => tokio::time::sleep(SEARCH_INTERVAL).await,
-                (false, false) => tokio::time::sleep(RETRY_DELAY).await,
+            if !is_fetched {
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
--- a/lib/src/mesh/read_schedule.rs
+++ b/lib/src/mesh/read_schedule.rs
@@ -12,6 +12,11 @@
 /// The time between the probes of two nodes of a data centre. It adds to the time until the end of
 /// an outage is noticed.
 const PROBE_STAGGER: Duration = Duration::from_millis(300);
+/// The number of nodes of a data centre that make an early first probe. If the reader is lost together
+/// with nodes that come next, one of the others reads soon enough for a change to be in force in time.
+const EARLY_PROBERS: usize = 8;
+/// The time between the first probes of these nodes. The result of one reaches the others within it.
+const EARLY_STAGGER: Duration = Duration::from_millis(40);
 /// The shortest time between two probes of one node.
 const MIN_PROBE_PERIOD: Duration = Duration::from_millis(600);
 
@@ -49,6 +54,7 @@
 #[derive(Debug, Default)]
 pub struct ReadSchedule {
     next_probe: Option<Instant>,
+    probing_since: Option<Instant>,
 }
 
 impl ReadSchedule {
@@ -57,30 +63,52 @@
     pub fn is_due(&mut self, now: Instant, role: Role, place: Place) -> bool {
         match role {
             Role::Follower => {
-                self.next_probe = None;
+                *self = Self::default();
                 false
             }
             Role::Reader => self.next_probe.is_none_or(|at| at <= now),
             Role::Prober => {
-                let first = now + PROBE_STAGGER * u32::try_from(place.rank).unwrap_or(u32::MAX);
+                let since = *self.probing_since.get_or_insert(now);
+                let first = match place.rank < EARLY_PROBERS {
+                    true => since + times(EARLY_STAGGER, place.rank),
+                    false => since + times(PROBE_STAGGER, place.rank),
+                };
                 *self.next_probe.get_or_insert(first) <= now
             }
         }
     }
 
+    /// Returns when the next read is due, if that is known.
+    pub fn next_read(&self) -> Option<Instant> {
+        self.next_probe
+    }
+
     /// Records a successful read; the next one is due after `interval`.
     pub fn record_success(&mut self, now: Instant, interval: Duration) {
-        self.next_probe = Some(now + interval);
+        *self = Self { next_probe: Some(now + interval), probing_since: None };
     }
 
     /// Records a failed read. The reader tries again soon, since others wait for it; probers leave the
     /// next attempts to each other.
     pub fn record_failure(&mut self, now: Instant, role: Role, place: Place) {
-        let turn = PROBE_STAGGER * u32::try_from(place.nodes).unwrap_or(u32::MAX);
-        let wait = match role {
-            Role::Prober => turn.max(MIN_PROBE_PERIOD),
-            Role::Reader | Role::Follower => MIN_PROBE_PERIOD,
-        };
-        self.next_probe = Some(now + wait);
+        self.next_probe = Some(match role {
+            Role::Prober => self.next_turn(now, place),
+            Role::Reader | Role::Follower => now + MIN_PROBE_PERIOD,
+        });
     }
+
+    /// Returns the next turn of a prober. The turns of a data centre's nodes are `PROBE_STAGGER` apart.
+    fn next_turn(&self, now: Instant, place: Place) -> Instant {
+        let first = self.probing_since.unwrap_or(now) + times(PROBE_STAGGER, place.rank);
+        if now < first {
+            return first;
+        }
+        let period = times(PROBE_STAGGER, place.nodes).max(MIN_PROBE_PERIOD);
+        let passed = (now - first).as_nanos() / period.as_nanos();
+        first + times(period, usize::try_from(passed).unwrap_or(usize::MAX).saturating_add(1))
+    }
+}
+
+fn times(duration: Duration, count: usize) -> Duration {
+    duration.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/lib/tests/read_schedule.rs
+++ b/lib/tests/read_schedule.rs
@@ -72,3 +72,20 @@
         assert!(!schedule.is_due(Instant::from_millis(ms), Role::Follower, place));
     }
 }
+
+/// Guards against nodes that read too late for a change to be in force in time, because the reader is lost
+/// together with those that come next.
+#[test]
+fn lost_successors() {
+    const EARLY: Duration = Duration::from_millis(300);
+    for nodes in [4, 39, 260] {
+        for rank in 1..8.min(nodes) {
+            let mut schedule = ReadSchedule::default();
+            let place = Place { rank, nodes };
+            let first = (0..10_000).step_by(10).map(Instant::from_millis);
+            let first = first.into_iter().find(|now| schedule.is_due(*now, Role::Prober, place));
+            let first = first.expect("each node reads at some time");
+            assert!(first - Instant::ZERO <= EARLY, "rank {rank} of {nodes} after {first}");
+        }
+    }
+}
