frame: bodies outside of the read buffers, counted before they are read

The body of a frame is now read into memory of its own, and a read buffer that a long message has enlarged is dropped once it is empty. A request body from a peer counts before it is read and is skipped if it does not fit; before, all links could each receive one that was counted only when it was there. Long bodies are written without a copy.

--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -8,12 +8,14 @@
 //! not know. Data that was added later is therefore never put into the message itself.
 
 mod supplement;
+#[cfg(test)]
+mod tests;
 
 pub use supplement::{ColdTarget, EvacuationFact, Supplement};
 
 use {
     crate::http::message::Field,
-    bytes::{Bytes, BytesMut},
+    bytes::{Buf as _, Bytes, BytesMut},
     monsoon_lib::{
         call::{Reason, Refusal},
         crash, id,
@@ -36,6 +38,8 @@
 /// The largest body, in bytes: the platform's limit plus some headroom.
 const MAX_BODY_BYTES: usize = 80 << 20;
 const PREFIX_BYTES: usize = 8;
+/// The memory that the read buffer of a link keeps between two frames, in bytes.
+const MAX_IDLE_BUFFER_BYTES: usize = 64 << 10;
 /// Precedes the supplement of a message without an extension. Receivers of such messages ignore it.
 const EMPTY_EXTENSION: Extension = Extension::Query { era: Era(0), document: Revision(0) };
 
@@ -286,6 +290,24 @@
     from: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
 ) -> io::Result<Received<M>> {
+    let (received, length) = read_head(from, buffer).await?;
+    let body = read_body(from, buffer, length).await?;
+    Ok(Received { body, ..received })
+}
+
+/// Reads one message with its attachments and without its body. Returns it with the length of the
+/// body, which is to be read or skipped next.
+///
+/// # Errors
+///
+/// Fails if the connection ends, or if the frame is too large or malformed.
+pub async fn read_head<M: DeserializeOwned>(
+    from: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+) -> io::Result<(Received<M>, usize)> {
+    if buffer.is_empty() && buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+        *buffer = BytesMut::new();
+    }
     fill_buffer(from, buffer, PREFIX_BYTES).await?;
     let length = |at: usize| {
         let mut bytes = [0; 4];
@@ -298,10 +320,9 @@
             "peer announced a message that exceeds the size limit of a frame",
         ));
     }
-    fill_buffer(from, buffer, PREFIX_BYTES + head + body).await?;
-    let mut frame = buffer.split_to(PREFIX_BYTES + head + body);
-    let _prefix = frame.split_to(PREFIX_BYTES);
-    let head = frame.split_to(head);
+    fill_buffer(from, buffer, PREFIX_BYTES + head).await?;
+    let mut head = buffer.split_to(PREFIX_BYTES + head);
+    let _prefix = head.split_to(PREFIX_BYTES);
     let (envelope, rest) = postcard::take_from_bytes(&head).map_err(io::Error::other)?;
     let (extension, rest) = match rest.is_empty() {
         true => (None, rest),
@@ -311,7 +332,47 @@
         }
     };
     let supplement = Supplement::decode(rest);
-    Ok(Received { envelope, extension, supplement, body: Bytes::copy_from_slice(&frame) })
+    Ok((Received { envelope, extension, supplement, body: Bytes::new() }, body))
+}
+
+/// Reads the body of a message into memory of its own, so that the buffer of the link stays small.
+///
+/// # Errors
+///
+/// Fails if the connection ends.
+pub async fn read_body(
+    from: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    length: usize,
+) -> io::Result<Bytes> {
+    let mut body = Vec::with_capacity(length);
+    body.extend_from_slice(&buffer.split_to(length.min(buffer.len())));
+    let missing = (length - body.len()) as u64;
+    from.take(missing).read_to_end(&mut body).await?;
+    match body.len() == length {
+        true => Ok(body.into()),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// Reads the body of a message without keeping it.
+///
+/// # Errors
+///
+/// Fails if the connection ends.
+pub async fn skip_body(
+    from: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    length: usize,
+) -> io::Result<()> {
+    let buffered = length.min(buffer.len());
+    buffer.advance(buffered);
+    let missing = (length - buffered) as u64;
+    let skipped = tokio::io::copy(&mut from.take(missing), &mut tokio::io::sink()).await?;
+    match skipped == missing {
+        true => Ok(()),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
 }
 
 async fn fill_buffer(
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -14,7 +14,7 @@
         progress::{End, Progress},
         socket,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::{Buf, Bytes, BytesMut},
     connecting::Connecting,
     liveness::Liveness,
     monsoon_lib::id,
@@ -45,6 +45,11 @@
 /// The time without a message after which the link counts as broken.
 const BROKEN_AFTER: Duration = Duration::from_millis(1_300);
 
+/// The longest body that is copied to share a write with other frames, in bytes.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
+/// The size from which no further frame is added to a write, in bytes.
+const MAX_BATCH_BYTES: usize = 256 << 10;
+
 /// The reasons for which a request to a peer has no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -334,7 +339,8 @@
     link
 }
 
-/// Writes queued frames until the connection fails. Frames that are queued together share a write.
+/// Writes queued frames until the connection fails. Frames that are queued together share a write,
+/// except for long bodies, which are not copied.
 pub async fn write_frames(
     mut to: OwnedWriteHalf,
     mut frame_queue: mpsc::UnboundedReceiver<Frame>,
@@ -343,19 +349,37 @@
     while let Some(frame) = frame_queue.recv().await {
         let mut batch = BytesMut::new();
         let mut next = Some(frame);
-        while let Some(frame) = next {
-            batch.extend_from_slice(&frame.head);
-            batch.extend_from_slice(&frame.body);
-            next = frame_queue.try_recv().ok();
-        }
-        while !batch.is_empty() {
-            match to.write_buf(&mut batch).await {
-                Ok(accepted) if accepted > 0 => progress.accept(accepted),
-                // The task that reads from the same connection detects and reports the failure.
-                _ => return,
+        while let Some(Frame { head, body }) = next.take() {
+            batch.extend_from_slice(&head);
+            if body.len() > MAX_COPIED_BODY_BYTES {
+                if !write(&mut to, &mut batch, &progress).await
+                    || !write(&mut to, body, &progress).await
+                {
+                    return;
+                }
+            } else {
+                batch.extend_from_slice(&body);
             }
+            if batch.len() < MAX_BATCH_BYTES {
+                next = frame_queue.try_recv().ok();
+            }
+        }
+        if !write(&mut to, &mut batch, &progress).await {
+            return;
+        }
+    }
+}
+
+/// Writes bytes and returns whether all were accepted. The task that reads from the same connection
+/// detects and reports a failure.
+async fn write(to: &mut OwnedWriteHalf, mut bytes: impl Buf, progress: &Progress) -> bool {
+    while bytes.has_remaining() {
+        match to.write_buf(&mut bytes).await {
+            Ok(accepted) if accepted > 0 => progress.accept(accepted),
+            _ => return false,
         }
     }
+    true
 }
 
 async fn read_responses(mut from: OwnedReadHalf, link: &Link) -> io::Error {
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        buffer::Reservation,
+        buffer::{Full, Reservation},
         frame::{
             self, Attachments, Envelope, Frame, PeerRequest, PeerResponse, Received, RunResult,
             Supplement,
@@ -24,12 +24,13 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        io,
         net::IpAddr,
         rc::Rc,
         time::Duration,
     },
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
         sync::mpsc,
         task::AbortHandle,
     },
@@ -89,8 +90,9 @@
     let link = Rc::new(PeerLink { mesh, host, frames, runs: RefCell::default() });
     let mut buffer = BytesMut::new();
     let error = loop {
-        match frame::read::<PeerRequest>(&mut read, &mut buffer).await {
-            Ok(received) => dispatch(&link, received),
+        let received = receive(&link.mesh, &mut read, &mut buffer).await;
+        match received {
+            Ok((received, reservation)) => dispatch(&link, received, reservation),
             Err(error) => break error,
         }
     };
@@ -101,9 +103,30 @@
     writer.abort();
 }
 
+/// Reads a message. Its body is counted before it is read, and skipped if it does not fit.
+async fn receive<H, D>(
+    mesh: &Mesh<H, D>,
+    from: &mut OwnedReadHalf,
+    buffer: &mut BytesMut,
+) -> io::Result<(Received<PeerRequest>, Result<Reservation, Full>)> {
+    let (received, length) = frame::read_head(from, buffer).await?;
+    let mut reservation = mesh.buffer.reservation();
+    match reservation.grow(length) {
+        Ok(()) => {
+            let body = frame::read_body(from, buffer, length).await?;
+            Ok((Received { body, ..received }, Ok(reservation)))
+        }
+        Err(full) => {
+            frame::skip_body(from, buffer, length).await?;
+            Ok((received, Err(full)))
+        }
+    }
+}
+
 fn dispatch<H: HeaderAdapter, D: Directory>(
     link: &Rc<PeerLink<H, D>>,
     received: Received<PeerRequest>,
+    reservation: Result<Reservation, Full>,
 ) {
     let Received { envelope, extension, supplement, body } = received;
     let Envelope { number, message: peer_request } = envelope;
@@ -138,19 +161,24 @@
         }
         PeerRequest::Run { mut forwarded, method, target, fields } => {
             Supplement::complete_run(supplement.as_ref(), &mut forwarded);
-            let mut reservation = mesh.buffer.reservation();
-            if let Err(full) = reservation.grow(body.len()) {
-                let request = forwarded.request.as_str();
-                log::info!(request, host:% = link.host; "refused a request, bodies fill the buffer");
-                let result = RunResult::Refused(full.into());
-                send_response(
-                    link,
-                    number,
-                    PeerResponse::RunFinished { result, load: None, is_traced: false },
-                    Bytes::new(),
-                );
-                return;
-            }
+            let reservation = match reservation {
+                Ok(reservation) => reservation,
+                Err(full) => {
+                    let request = forwarded.request.as_str();
+                    log::info!(
+                        request, host:% = link.host;
+                        "refused a request, bodies fill the buffer"
+                    );
+                    let result = RunResult::Refused(full.into());
+                    send_response(
+                        link,
+                        number,
+                        PeerResponse::RunFinished { result, load: None, is_traced: false },
+                        Bytes::new(),
+                    );
+                    return;
+                }
+            };
             let request = Rc::new(Request { method, target, fields, body });
             let task = handle_run(link.clone(), number, forwarded, request, reservation);
             let handle = tokio::task::spawn_local(task);
