buffer: count answers until they are written, and let long ones wait

Response bodies counted only while they were received from the target. In the queue of frames to the callers' node, in the answer there and in the caller's connection they were not bounded: 24 callers of 8 MiB took 204 to 216 MB.

A reservation is now part of the bytes of a body and ends with their last reference, when the operating system has accepted them. Where there is no room the source waits: the target's connection is not read, and a node keeps a long body until the callers' node asks for it, so that no other message on the link waits. Nodes say in the first message of a link that they ask for bodies; others get them at once, as before. Connections that leave an answer unread beyond the time budget of its request, or 60 s, are closed while others wait for the memory.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod frame;
 mod front;
+mod kept;
 mod linger;
 mod link;
 mod metrics;
@@ -24,17 +25,19 @@
 mod socket;
 mod sync;
 mod target;
+mod unread;
 mod upkeep;
 mod vouch;
 
 pub use {
+    buffer::DEFAULT_MEMORY_BYTES,
     process::{Error, Settings, run},
     socket::connect_from,
 };
 
 use {
     adapter::{Directory, HeaderAdapter},
-    buffer::Buffer,
+    buffer::{Buffer, ResponseBuffers},
     cancellation::Cancellations,
     link::Links,
     metrics::Metrics,
@@ -53,6 +56,7 @@
     },
     target::Target,
     tokio::sync::{Notify, oneshot},
+    unread::UnreadAnswers,
     vouch::VouchState,
 };
 
@@ -64,7 +68,11 @@
     links: Links,
     target: Target,
     metrics: Metrics,
+    /// The memory for request bodies.
     buffer: Buffer,
+    /// The memory for response bodies from peers.
+    peer_responses: ResponseBuffers,
+    unread_answers: UnreadAnswers,
     /// Why the node was not ready when this was last logged.
     last_readiness: Cell<Result<(), NotReady>>,
     /// Whether the facts were behind the store when this was last logged.
--- a/daemon/src/mesh/cause.rs
+++ b/daemon/src/mesh/cause.rs
@@ -22,17 +22,20 @@
     MismatchedResponse,
     /// None of the other causes.
     Other,
+    /// Answers that other callers have not read fill the memory for the target's answer.
+    NoRoom,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::TargetBroke,
         Self::TargetDeadline,
         Self::LinkBroke,
         Self::LinkTimeout,
         Self::MismatchedResponse,
         Self::Other,
+        Self::NoRoom,
     ];
 
     /// Returns the name used in logs and metrics.
@@ -44,13 +47,14 @@
             Self::LinkTimeout => "link-timeout",
             Self::MismatchedResponse => "mismatched-response",
             Self::Other => "other",
+            Self::NoRoom => "no-room",
         }
     }
 
     /// Returns the reason that callers and nodes of earlier versions are given.
     pub const fn reason(self) -> Reason {
         match self {
-            Self::TargetDeadline => Reason::Deadline,
+            Self::TargetDeadline | Self::NoRoom => Reason::Deadline,
             _ => Reason::Broken,
         }
     }
--- a/daemon/src/mesh/frame.rs
+++ b/daemon/src/mesh/frame.rs
@@ -88,6 +88,11 @@
     Crashes(crash::Message),
     /// Checks that the peer is responsive.
     Ping,
+    /// Requests the body of a response that the peer keeps, as it said in [`Supplement::BodyKept`].
+    SendBody {
+        /// The number of the request that the response belongs to.
+        run: u64,
+    },
 }
 
 /// A message from the node that accepted the link, in response to a [`PeerRequest`].
@@ -120,6 +125,11 @@
     Vouched(bool),
     /// The response to [`PeerRequest::Ping`].
     Pong,
+    /// The response to [`PeerRequest::SendBody`]. The body is that of the frame.
+    Body {
+        /// Whether the sender still had the body.
+        is_kept: bool,
+    },
 }
 
 /// The result of running a request on a target, as reported to the node that routed it.
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -51,6 +51,17 @@
         /// As in `RunFinished`.
         loads: Vec<PoolLoad>,
     },
+    /// Completes `PeerRequest::Hello`: the sender asks for long response bodies when it has room for
+    /// them.
+    AsksForBodies,
+    /// Completes `PeerResponse::RunFinished` instead of `RunFinished` where the body is long. The
+    /// sender keeps it until it is asked for it.
+    BodyKept {
+        /// The length of the body, in bytes.
+        bytes: u64,
+        /// As in `RunFinished`.
+        loads: Vec<PoolLoad>,
+    },
 }
 
 /// Decodes a field that was added at the end of a supplement. It is false if the supplement ends
@@ -112,11 +123,21 @@
         }
     }
 
+    /// Returns the length of the body that the sender of a response keeps, if it does.
+    pub fn kept_bytes(&self) -> Option<usize> {
+        match self {
+            Self::BodyKept { bytes, .. } => usize::try_from(*bytes).ok(),
+            _ => None,
+        }
+    }
+
     /// Returns the loads that came with a response to a run.
     pub fn into_loads(self) -> Vec<PoolLoad> {
         match self {
-            Self::RunFinished { loads } | Self::RunLost { loads, .. } => loads,
-            Self::Run { .. } | Self::Facts { .. } => Vec::new(),
+            Self::RunFinished { loads }
+            | Self::RunLost { loads, .. }
+            | Self::BodyKept { loads, .. } => loads,
+            Self::Run { .. } | Self::Facts { .. } | Self::AsksForBodies => Vec::new(),
         }
     }
 
--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -6,6 +6,7 @@
         adapter::{Directory, HeaderAdapter},
         buffer::Reservation,
         relay::Reply,
+        unread::MAX_READ_TIME,
     },
     crate::{clock, http::message::Request},
     bytes::{Bytes, BytesMut},
@@ -19,8 +20,11 @@
     },
     hyper_util::rt::TokioIo,
     monsoon_lib::call::{Reason, Refusal},
-    std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, sync::watch},
+    std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::{Notify, watch},
+    },
 };
 
 /// The limit of a request body while the node has no tables, in bytes.
@@ -82,9 +86,11 @@
     kind: ListenerKind,
     mut closing: watch::Receiver<bool>,
 ) {
+    let overdue = Arc::new(Notify::new());
+    let notify = overdue.clone();
     let service = service_fn(move |request| {
-        let mesh = mesh.clone();
-        async move { Ok::<_, Infallible>(respond(&mesh, request, kind).await) }
+        let (mesh, overdue) = (mesh.clone(), notify.clone());
+        async move { Ok::<_, Infallible>(respond(&mesh, request, kind, &overdue).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
@@ -92,9 +98,13 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = overdue.notified() => return,
         _ = closing.wait_for(|is_closing| *is_closing) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection => result,
+                () = overdue.notified() => return,
+            }
         }
     };
     if let Err(error) = result {
@@ -106,9 +116,10 @@
     mesh: &Rc<Mesh<H, D>>,
     request: hyper::Request<Incoming>,
     kind: ListenerKind,
+    overdue: &Arc<Notify>,
 ) -> Response<Full<Bytes>> {
     match kind {
-        ListenerKind::Callers => serve_caller(mesh, request).await,
+        ListenerKind::Callers => serve_caller(mesh, request, overdue).await,
         ListenerKind::Readiness => serve_readiness(mesh, &request),
         ListenerKind::Metrics => Response::new(Full::new(mesh.metrics_text().into())),
     }
@@ -135,6 +146,7 @@
 async fn serve_caller<H: HeaderAdapter, D: Directory>(
     mesh: &Rc<Mesh<H, D>>,
     request: hyper::Request<Incoming>,
+    overdue: &Arc<Notify>,
 ) -> Response<Full<Bytes>> {
     let _open_request = mesh.track_request();
     let started = clock::now();
@@ -164,7 +176,9 @@
         Reply::Refused(refusal) => refuse(mesh, &refusal, Some(&head.request)),
         Reply::Answer(answer) => {
             mesh.metrics.answered(clock::now() - started);
-            let mut response = Response::new(Full::new(answer.body.clone()));
+            let read_time = head.caller_timeout.unwrap_or(MAX_READ_TIME).min(MAX_READ_TIME);
+            let body = mesh.unread_answers.track(answer.body, started + read_time, overdue);
+            let mut response = Response::new(Full::new(body));
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
             append_fields(&mut response, &answer.fields);
--- a/daemon/src/mesh/link.rs
+++ b/daemon/src/mesh/link.rs
@@ -81,6 +81,8 @@
     pub supplement: Option<Supplement>,
     /// The body that belongs to the message.
     pub body: Bytes,
+    /// The number of the request.
+    pub number: u64,
 }
 
 type Pending = HashMap<u64, oneshot::Sender<Response>>;
@@ -103,6 +105,14 @@
         let length = frame.head.len() + frame.body.len();
         self.frames.send(frame).ok().map(|()| self.progress.queue(length))
     }
+
+    /// Cancels a request, or drops the body that the peer keeps for it.
+    fn cancel(&self, number: u64) {
+        if let Ok(frame) = frame::encode(number, PeerRequest::Cancel, Bytes::new()) {
+            // If the link is broken, the cancellation can't be delivered.
+            let _ = self.queue(frame);
+        }
+    }
 }
 
 /// All links that this node opened, at most one per peer.
@@ -129,10 +139,7 @@
         if self.is_complete || self.link.pending.borrow_mut().remove(&self.number).is_none() {
             return;
         }
-        if let Ok(frame) = frame::encode(self.number, PeerRequest::Cancel, Bytes::new()) {
-            // If the link is broken, the cancellation can't be delivered.
-            let _ = self.link.queue(frame);
-        }
+        self.link.cancel(self.number);
     }
 }
 
@@ -237,6 +244,13 @@
         })
     }
 
+    /// Cancels a request to a peer, or drops the body that the peer keeps for it.
+    pub fn cancel(&self, host: IpAddr, number: u64) {
+        if let Some(link) = self.open_link(host) {
+            link.cancel(number);
+        }
+    }
+
     /// Sends a message without a response to a peer.
     ///
     /// # Errors
@@ -294,7 +308,9 @@
             let link = start_link(connecting.await?, host, unresponsive);
             // The writer runs until the link breaks, so this fails only if the link is already
             // broken.
-            let _ = link.queue(frame::encode(0, hello, Bytes::new())?);
+            let attachments =
+                Attachments { extension: None, supplement: Some(&Supplement::AsksForBodies) };
+            let _ = link.queue(frame::encode_with(0, hello, attachments, Bytes::new())?);
             links.borrow_mut().insert(host, link.clone());
             Ok(link)
         }
@@ -393,7 +409,7 @@
                 link.liveness.record_message();
                 if let Some(response_sender) = link.pending.borrow_mut().remove(&number) {
                     // The requester may have been cancelled in the meantime.
-                    let response = Response { message, extension, supplement, body };
+                    let response = Response { message, extension, supplement, body, number };
                     let _ = response_sender.send(response);
                 }
             }
--- a/daemon/src/mesh/metrics.rs
+++ b/daemon/src/mesh/metrics.rs
@@ -169,10 +169,8 @@
         )?;
         registry.register(Box::new(stale.clone()))?;
         let held_bytes = gauge("monsoon_held_body_bytes", "Bytes of request bodies in memory.")?;
-        let held_response_bytes = gauge(
-            "monsoon_held_response_bytes",
-            "Bytes of response bodies that are being received.",
-        )?;
+        let held_response_bytes =
+            gauge("monsoon_held_response_bytes", "Bytes of response bodies in memory.")?;
         let entry_refused =
             Opts::new("monsoon_entry_refused_total", "Requests refused for a pool below.");
         let entry_refused = IntCounterVec::new(entry_refused, &["pool"])?;
@@ -272,7 +270,8 @@
             counter.inc_by(dump.entry_refusals.count(kind).saturating_sub(counter.get()));
         }
         metrics.held_bytes.set(self.buffer.held_bytes() as i64);
-        metrics.held_response_bytes.set(self.target.held_bytes() as i64);
+        let held = self.target.buffers().held_bytes() + self.peer_responses.held_bytes();
+        metrics.held_response_bytes.set(held as i64);
         let mut text = String::new();
         if let Err(error) = TextEncoder::new().encode_utf8(&metrics.registry.gather(), &mut text) {
             log::warn!(error:% = error; "failed to encode metrics");
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -4,11 +4,12 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        buffer::{Full, Reservation},
+        buffer::{Full, MAX_SHORT_BODY_BYTES, Reservation},
         frame::{
             self, Attachments, Envelope, Frame, PeerRequest, PeerResponse, Received, RunResult,
             Supplement,
         },
+        kept::{self, KeptBodies},
         link,
         progress::Progress,
         replication::{self, Query},
@@ -42,11 +43,15 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The server side of a link that a peer opened.
-struct PeerLink<H, D> {
-    mesh: Rc<Mesh<H, D>>,
+pub struct PeerLink<H, D> {
+    pub mesh: Rc<Mesh<H, D>>,
     host: IpAddr,
     frames: mpsc::UnboundedSender<Frame>,
-    runs: RefCell<HashMap<u64, AbortHandle>>,
+    /// The tasks of this link that its peer can cancel, by the numbers of their requests.
+    pub runs: RefCell<HashMap<u64, AbortHandle>>,
+    /// Whether the peer asks for long bodies. Earlier versions get them at once.
+    asks_for_bodies: Cell<bool>,
+    pub kept_bodies: KeptBodies,
 }
 
 impl<H, D> Drop for PeerLink<H, D> {
@@ -87,7 +92,14 @@
     let (frames, frame_queue) = mpsc::unbounded_channel();
     let writer = link::write_frames(write, frame_queue, Rc::<Progress>::default());
     let writer = tokio::task::spawn_local(writer);
-    let link = Rc::new(PeerLink { mesh, host, frames, runs: RefCell::default() });
+    let link = Rc::new(PeerLink {
+        mesh,
+        host,
+        frames,
+        runs: RefCell::default(),
+        asks_for_bodies: Cell::default(),
+        kept_bodies: KeptBodies::default(),
+    });
     let mut buffer = BytesMut::new();
     let error = loop {
         let received = receive(&link.mesh, &mut read, &mut buffer).await;
@@ -132,6 +144,9 @@
     let Envelope { number, message: peer_request } = envelope;
     let mesh = &link.mesh;
     let now = clock::now();
+    if supplement == Some(Supplement::AsksForBodies) {
+        link.asks_for_bodies.set(true);
+    }
     match peer_request {
         PeerRequest::Hello { data_centre, is_leaving: false } => {
             mesh.node.borrow_mut().peers_mut().mark_started(now, link.host, data_centre);
@@ -184,7 +199,13 @@
             let handle = tokio::task::spawn_local(task);
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
+        PeerRequest::SendBody { run } => {
+            if !link.kept_bodies.release(run, number) {
+                send_response(link, number, PeerResponse::Body { is_kept: false }, Bytes::new());
+            }
+        }
         PeerRequest::Cancel => {
+            link.kept_bodies.remove(number);
             if let Some(run) = link.runs.borrow_mut().remove(&number) {
                 run.abort();
             }
@@ -218,7 +239,7 @@
     }
 }
 
-fn send_response<H, D>(link: &PeerLink<H, D>, number: u64, message: PeerResponse, body: Bytes) {
+pub fn send_response<H, D>(link: &PeerLink<H, D>, number: u64, message: PeerResponse, body: Bytes) {
     send_response_with(link, number, message, None, body);
 }
 
@@ -242,13 +263,16 @@
     number: u64,
     mut forwarded: ForwardedRequest,
     request: Rc<Request>,
-    _reservation: Reservation,
+    reservation: Reservation,
 ) {
-    let _open_request = link.mesh.track_request();
+    let open_request = link.mesh.track_request();
+    let deadline = clock::now() + forwarded.remaining;
     forwarded.route = link.mesh.find_route(&request);
     let is_sent = Cell::default();
     let (result, body, cause) = link.mesh.run_locally(&forwarded, &request, &is_sent).await;
+    drop((request, reservation));
     link.runs.borrow_mut().remove(&number);
+    let is_kept = link.asks_for_bodies.get() && body.len() > MAX_SHORT_BODY_BYTES;
     let (response, supplement) = {
         let mut node = link.mesh.node.borrow_mut();
         let now = clock::now();
@@ -256,9 +280,20 @@
         let loads = node.reported_loads(now, forwarded.route.as_ref());
         let is_traced = node.runs().has_traced_locally(now);
         let result = result.for_peer();
-        (PeerResponse::RunFinished { result, load, is_traced }, Supplement::of_result(cause, loads))
+        let supplement = match is_kept {
+            true => Some(Supplement::BodyKept { bytes: body.len() as u64, loads }),
+            false => Supplement::of_result(cause, loads),
+        };
+        (PeerResponse::RunFinished { result, load, is_traced }, supplement)
+    };
+    let sent_body = match is_kept {
+        true => {
+            kept::keep(&link, number, body, deadline, open_request);
+            Bytes::new()
+        }
+        false => body,
     };
-    send_response_with(&link, number, response, supplement.as_ref(), body);
+    send_response_with(&link, number, response, supplement.as_ref(), sent_body);
 }
 
 async fn handle_facts<H: HeaderAdapter, D: Directory>(
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        buffer::Buffer,
+        buffer::{Buffer, Limits, ResponseBuffers},
         cancellation::Cancellations,
         frame::PeerRequest,
         front::{self, ListenerKind},
@@ -12,6 +12,7 @@
         metrics::Metrics,
         peers,
         target::Target,
+        unread::UnreadAnswers,
         vouch::VouchState,
     },
     monsoon_lib::mesh::node::{self, Node},
@@ -75,6 +76,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// The time from the termination signal to the exit of the process.
     pub grace: Duration,
+    /// The memory of the VM for this process, in bytes. Two thirds of it hold bodies at most.
+    pub memory: usize,
     /// The settings of the decision logic.
     pub node: node::Settings,
 }
@@ -99,14 +102,17 @@
     let readiness = bind_listener("readiness", settings.readiness_address).await?;
     let data_centre = settings.node.data_centre.clone();
     let metrics = Metrics::new()?;
+    let limits = Limits::for_memory(settings.memory);
     let mesh = Rc::new(Mesh {
         links: Links::new(settings.node.host, settings.peer_address.port(), data_centre),
-        target: Target::new(settings.node.target, metrics.connections().clone()),
+        target: Target::new(settings.node.target, limits, metrics.connections().clone()),
         node: RefCell::new(Node::new(settings.node, rand::random())),
         header_adapter,
         directory,
         metrics,
-        buffer: Buffer::for_requests(),
+        buffer: Buffer::new(limits.requests),
+        peer_responses: ResponseBuffers::new(limits),
+        unread_answers: UnreadAnswers::default(),
         last_readiness: Cell::new(Ok(())),
         is_behind: Cell::default(),
         queued_calls: RefCell::default(),
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -6,7 +6,7 @@
         adapter::{Directory, HeaderAdapter},
         cause::Cause,
         frame::{Attachments, PeerRequest, PeerResponse, RunResult, Supplement},
-        link::{self, Response},
+        link::{self, Links, Response},
     },
     crate::{
         clock,
@@ -20,6 +20,7 @@
             node::{Attempt, AttemptResult, Call, ForwardedRequest, Head, NextStep},
             scarcity::PoolLoad,
         },
+        pressure,
         time::Instant,
     },
     std::{cell::Cell, net::IpAddr, pin::pin, rc::Rc, time::Duration},
@@ -67,6 +68,22 @@
     }
 }
 
+/// A response body that a peer keeps. Dropping it makes the peer drop the body, unless it was fetched.
+struct KeptBody<'a> {
+    links: &'a Links,
+    host: IpAddr,
+    run: u64,
+    is_fetched: bool,
+}
+
+impl Drop for KeptBody<'_> {
+    fn drop(&mut self) {
+        if !self.is_fetched {
+            self.links.cancel(self.host, self.run);
+        }
+    }
+}
+
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Relays a request until it succeeds or is refused. Dropping the future cancels the request. A
     /// call of a run is ended if the run is cancelled.
@@ -268,23 +285,10 @@
                 message: PeerResponse::RunFinished { result, load, is_traced },
                 supplement,
                 body,
+                number,
                 ..
             }) => {
-                if let RunResult::Answered { fields, .. } = &result {
-                    self.record_announcement(&attempt.target, fields);
-                }
-                let now = clock::now();
-                let mut node = self.node.borrow_mut();
-                node.peers_mut().record_contact(now, attempt.host, None);
-                if let RunResult::Refused(Refusal { reason: Reason::Leaving, .. }) = result {
-                    node.peers_mut().mark_leaving(now, attempt.host);
-                }
-                if is_traced {
-                    node.runs().record_remote_trace(now);
-                }
-                if let Some(load) = &load {
-                    node.record_load(now, &attempt.target, load);
-                }
+                self.record_run(attempt, &result, load.as_ref(), is_traced);
                 let cause = match &result {
                     RunResult::MayHaveRun(reason) => {
                         let said = supplement.as_ref().and_then(Supplement::cause);
@@ -292,8 +296,19 @@
                     }
                     _ => None,
                 };
+                let kept_bytes = supplement.as_ref().and_then(Supplement::kept_bytes);
                 let loads = load.map(|_| supplement.map_or(Vec::new(), Supplement::into_loads));
-                (result, body, loads, cause)
+                let body = match kept_bytes {
+                    Some(bytes) => self.fetch_body(attempt.host, number, bytes, late_at).await,
+                    None => self.hold_body(body, late_at).await,
+                };
+                match body {
+                    Ok(body) => (result, body, loads, cause),
+                    Err(cause) => {
+                        let result = RunResult::MayHaveRun(cause.reason());
+                        (result, Bytes::new(), loads, Some(cause))
+                    }
+                }
             }
             Ok(_) => {
                 log::warn!(host:% = attempt.host; "unexpected type of response from a peer");
@@ -307,6 +322,62 @@
         }
     }
 
+    /// Records what a peer's response to a run tells of the peer and its target.
+    fn record_run(
+        &self,
+        attempt: &Attempt,
+        result: &RunResult,
+        load: Option<&pressure::Report>,
+        is_traced: bool,
+    ) {
+        if let RunResult::Answered { fields, .. } = result {
+            self.record_announcement(&attempt.target, fields);
+        }
+        let now = clock::now();
+        let mut node = self.node.borrow_mut();
+        node.peers_mut().record_contact(now, attempt.host, None);
+        if let RunResult::Refused(Refusal { reason: Reason::Leaving, .. }) = result {
+            node.peers_mut().mark_leaving(now, attempt.host);
+        }
+        if is_traced {
+            node.runs().record_remote_trace(now);
+        }
+        if let Some(load) = load {
+            node.record_load(now, &attempt.target, load);
+        }
+    }
+
+    /// Fetches the body of a response that a peer keeps, once there is room for it. Gives up at
+    /// `late_at`.
+    async fn fetch_body(
+        &self,
+        host: IpAddr,
+        run: u64,
+        bytes: usize,
+        late_at: tokio::time::Instant,
+    ) -> Result<Bytes, Cause> {
+        let mut kept = KeptBody { links: &self.links, host, run, is_fetched: false };
+        let reserved = tokio::time::timeout_at(late_at, self.peer_responses.reserve(bytes)).await;
+        let reservation = reserved.map_err(|_| Cause::NoRoom)?;
+        let request = self.links.request(host, PeerRequest::SendBody { run }, Bytes::new());
+        match self.response_unless_silent(host, late_at, request).await {
+            Some(Ok((PeerResponse::Body { is_kept: true }, body))) => {
+                kept.is_fetched = true;
+                Ok(reservation.attach(body))
+            }
+            Some(Ok(_)) => Err(Cause::Other),
+            Some(Err(error)) => Err(self.link_failure(host, &error).1.unwrap_or(Cause::LinkBroke)),
+            None => Err(Cause::LinkTimeout),
+        }
+    }
+
+    /// Counts the body of a peer's response until it is written to the caller.
+    async fn hold_body(&self, body: Bytes, late_at: tokio::time::Instant) -> Result<Bytes, Cause> {
+        let reserved = self.peer_responses.reserve(body.len());
+        let reservation = tokio::time::timeout_at(late_at, reserved).await;
+        reservation.map(|reservation| reservation.attach(body)).map_err(|_| Cause::NoRoom)
+    }
+
     /// Opens a link to a peer if there is none, and makes sure that messages arrive on it if the request
     /// to be sent may not run twice.
     async fn reach_peer(
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         adapter::{HeaderAdapter, Health, ResponseVerdict},
-        buffer::Buffer,
+        buffer::{Limits, MAX_RESPONSE_BYTES, MAX_SHORT_BODY_BYTES, ResponseBuffers},
         cause::Cause,
         socket,
     },
@@ -18,7 +18,7 @@
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::{
         HeaderMap, Method, Response, Uri,
-        body::Incoming,
+        body::{Body as _, Incoming},
         client::conn::http1::{self, SendRequest},
         header::{CONNECTION, HOST, HeaderName, HeaderValue},
     },
@@ -29,12 +29,6 @@
     tokio::time::Instant,
 };
 
-/// The largest response body that is accepted from a target, in bytes. A target in trouble may send
-/// bytes until the node closes the connection.
-const MAX_BODY_BYTES: usize = 16 << 20;
-/// The part of each response body that is not counted against the memory for all of them, in bytes,
-/// so that large bodies do not stop small ones.
-const UNCOUNTED_BODY_BYTES: usize = 64 << 10;
 /// The read buffer of a connection, in bytes. It holds the largest head of a response.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// How long the node waits beyond the deadline that it gave the target. The target stops at the
@@ -97,19 +91,20 @@
 pub struct Target {
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
-    buffer: Buffer,
+    buffers: ResponseBuffers,
     counters: Counters,
 }
 
 impl Target {
     /// Creates an empty pool for the target at `address`.
-    pub fn new(address: SocketAddr, counters: Counters) -> Self {
-        Self { address, idle: RefCell::default(), buffer: Buffer::for_responses(), counters }
+    pub fn new(address: SocketAddr, limits: Limits, counters: Counters) -> Self {
+        let buffers = ResponseBuffers::new(limits);
+        Self { address, idle: RefCell::default(), buffers, counters }
     }
 
-    /// Returns the number of bytes of response bodies that are being received.
-    pub fn held_bytes(&self) -> usize {
-        self.buffer.held_bytes()
+    /// Returns the memory for the bodies of this target's responses.
+    pub fn buffers(&self) -> &ResponseBuffers {
+        &self.buffers
     }
 
     /// Closes connections that have been idle for too long or were closed by the target.
@@ -175,6 +170,10 @@
                 connection.set_ending(Ending::Broken);
                 return ExchangeResult::MayHaveRun(Cause::TargetBroke, error);
             }
+            Err(_) if self.buffers.is_contended() => {
+                let error = "no room for the body before the deadline".into();
+                return ExchangeResult::MayHaveRun(Cause::NoRoom, error);
+            }
             Err(_) => {
                 return ExchangeResult::MayHaveRun(Cause::TargetDeadline, "body timed out".into());
             }
@@ -204,20 +203,30 @@
         }
     }
 
-    /// Reads a response body within the limits on its size and on the memory of all responses.
+    /// Reads a response body once there is room for it. Until then the target has to wait.
     async fn read_body(&self, response: Response<Incoming>) -> Result<Bytes, String> {
-        let mut body = Limited::new(response.into_body(), MAX_BODY_BYTES);
-        let mut reservation = self.buffer.reservation();
-        let mut bytes = BytesMut::new();
+        let length = response.body().size_hint().exact().map(|length| length as usize);
+        if length.is_some_and(|length| length > MAX_RESPONSE_BYTES) {
+            return Err("the body exceeds the size limit".into());
+        }
+        let mut room = length.unwrap_or(MAX_SHORT_BODY_BYTES);
+        let mut reservation = self.buffers.reserve(room).await;
+        let mut bytes = BytesMut::with_capacity(length.unwrap_or_default());
+        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else { continue };
-            let counted = |length: usize| length.saturating_sub(UNCOUNTED_BODY_BYTES);
-            let grown = counted(bytes.len() + data.len()) - counted(bytes.len());
-            reservation.grow(grown).map_err(|error| error.to_string())?;
+            if bytes.len() + data.len() > room {
+                // Only what has no known length gets here. Room for the longest body is reserved at
+                // once, since bodies that wait for each other's room would never end.
+                drop(reservation);
+                room = MAX_RESPONSE_BYTES;
+                reservation = self.buffers.reserve(room).await;
+            }
             bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
+        reservation.shrink(bytes.len());
+        Ok(reservation.attach(bytes.freeze()))
     }
 
     /// Removes the most recently used idle connection on which the target has not declined the
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -32,6 +32,7 @@
             self.log_lag(now);
             self.log_scarcity(now);
             self.watch_cold_target();
+            self.close_unread_answers(now);
             for host in self.node.borrow().peers().stale_sources(now) {
                 let mesh = self.clone();
                 tokio::task::spawn_local(
@@ -49,6 +50,18 @@
         }
     }
 
+    /// Closes connections whose callers have left answers unread beyond their deadlines, if others wait
+    /// for the memory.
+    fn close_unread_answers(&self, now: Instant) {
+        if !self.target.buffers().is_contended() && !self.peer_responses.is_contended() {
+            return;
+        }
+        let closed = self.unread_answers.close_overdue(now);
+        if closed > 0 {
+            log::warn!(closed; "closed connections of callers that did not read their answers");
+        }
+    }
+
     /// Logs why the node is not ready, once for each change.
     fn log_readiness(&self, now: Instant) {
         let readiness = self.node.borrow().readiness(now);
