front: refuse requests that are complete only after the node has closed

In a planned stop an upload whose last byte came 4.5 s after SIGTERM was passed on to a target and cut off without an answer when the process ended at 5.6 s. The node closes its listener and its idle connections after 2.6 s, but admitted what was being received at that moment whenever it was complete.

Such a request is refused as not run, so its caller can send it again elsewhere. planned_stop::late_body had no answer and one run before; it gets 503 and does not run.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -85,8 +85,8 @@
     is_pacing: Cell<bool>,
     last_call_number: Cell<u64>,
     open_requests: Cell<usize>,
-    /// Whether requests from peers are refused, since the node has announced that it is leaving.
-    is_closed_to_peers: Cell<bool>,
+    /// Whether new requests are refused, since the node has announced that it is leaving.
+    is_closed: Cell<bool>,
     state_changed: Notify,
     last_platform_read: Cell<Option<Instant>>,
     /// Since when the last confirmation of the document has been too old, as far as it was logged.
--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -163,6 +163,12 @@
             return refuse(mesh, &refusal, Some(&head.request));
         }
     };
+    if mesh.is_closed.get() {
+        // What the targets get now could be cut off when the process ends.
+        let refusal = Refusal::not_run(Reason::Leaving);
+        mesh.log_refusal(&head, &refusal, None, None, None);
+        return refuse(mesh, &refusal, Some(&head.request));
+    }
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let request = Request {
         method: parts.method.as_str().to_owned(),
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -160,7 +160,7 @@
             log::info!(host:% = link.host; "peer is leaving");
             mesh.node.borrow_mut().peers_mut().mark_leaving(now, link.host);
         }
-        PeerRequest::Run { forwarded, .. } if mesh.is_closed_to_peers.get() => {
+        PeerRequest::Run { forwarded, .. } if mesh.is_closed.get() => {
             let request = forwarded.request.as_str();
             log::info!(
                 request, host:% = link.host;
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -121,7 +121,7 @@
         is_pacing: Cell::default(),
         last_call_number: Cell::default(),
         open_requests: Cell::default(),
-        is_closed_to_peers: Cell::default(),
+        is_closed: Cell::default(),
         state_changed: Notify::new(),
         last_platform_read: Cell::default(),
         stale_since: Cell::default(),
@@ -186,7 +186,7 @@
     // Until callers have noticed, the node keeps serving its target to peers as well.
     tokio::time::sleep_until((start + DRAIN_ACCEPT_TIME).min(drain_end)).await;
     mesh.links.set_leaving();
-    mesh.is_closed_to_peers.set(true);
+    mesh.is_closed.set(true);
     mesh.broadcast(PeerRequest::Leaving).await;
     caller_listener.abort();
     close_sender.send_replace(true);
