sync: the source of facts says its name itself

log_if_stale spelled out what a source is called, and each response of a peer made a string of its address although nothing was logged. Log lines stay as they are.

--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -147,24 +147,21 @@
         {
             self.stale_since.set(Some(now));
             self.metrics.stale();
-            let source = match self.source() {
-                Source::Peer(host) => host.to_string(),
-                Source::Platform => "platform".into(),
-            };
             log::info!(
-                age_ms = age.as_millis() as u64, source, tables:% = self.table_revision();
+                age_ms = age.as_millis() as u64, source:% = self.source(),
+                tables:% = self.table_revision();
                 "facts are stale"
             );
         }
     }
 
     /// Logs when a confirmation has ended the time without one.
-    fn log_if_confirmed(&self, from: &str) {
+    fn log_if_confirmed(&self, from: Source) {
         if !self.is_stale()
             && let Some(since) = self.stale_since.take()
         {
             let stale_ms = (clock::now() - since).as_millis() as u64;
-            log::info!(stale_ms, from; "facts are confirmed again");
+            log::info!(stale_ms, from:% = from; "facts are confirmed again");
         }
     }
 
@@ -178,9 +175,9 @@
         has_facts || self.table_revision() > query.document
     }
 
-    fn on_changes(self: &Rc<Self>, changes: Changes, from: &str) {
+    fn on_changes(self: &Rc<Self>, changes: Changes, from: Source) {
         if let Some(revision) = changes.table {
-            log::info!(revision:% = revision, from; "tables in force");
+            log::info!(revision:% = revision, from:% = from; "tables in force");
         }
         self.watch_cold_target();
         if changes.has_evacuation_changes {
@@ -191,7 +188,7 @@
             let targets = node.fleet().iter().count();
             let leaving = node.fleet().iter().filter(|target| target.is_leaving).count();
             log::info!(
-                position:% = node.facts().position(), targets, leaving, from;
+                position:% = node.facts().position(), targets, leaving, from:% = from;
                 "targets changed"
             );
             drop(node);
@@ -250,7 +247,7 @@
                         false => self.node.borrow_mut().apply_listing(now, &facts, position),
                     };
                     is_listed = true;
-                    self.on_changes(changes, "platform");
+                    self.on_changes(changes, Source::Platform);
                     tokio::time::sleep(WATCH_DELAY).await;
                 }
                 Err(adapter::Error::Restored(era)) => {
@@ -344,9 +341,9 @@
             );
         }
         if changes != Changes::default() {
-            self.on_changes(changes, "platform");
+            self.on_changes(changes, Source::Platform);
         }
-        self.log_if_confirmed("platform");
+        self.log_if_confirmed(Source::Platform);
         // Peers that wait for facts get the confirmation.
         self.state_changed.notify_waiters();
     }
@@ -430,9 +427,9 @@
             changes
         };
         if changes != Changes::default() || update.position > query.after {
-            self.on_changes(changes, &host.to_string());
+            self.on_changes(changes, Source::Peer(host));
         }
-        self.log_if_confirmed(&host.to_string());
+        self.log_if_confirmed(Source::Peer(host));
         true
     }
 
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -11,6 +11,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        fmt,
         net::IpAddr,
         time::Duration,
     },
@@ -54,6 +55,15 @@
     Peer(IpAddr),
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Peer(host) => host.fmt(f),
+        }
+    }
+}
+
 /// The peers of a node by the address of their VM.
 #[derive(Debug)]
 pub struct Peers {
