--- a/daemon/src/mesh/buffer.rs
+++ b/daemon/src/mesh/buffer.rs
@@ -140,24 +140,31 @@
 
     /// Returns the same bytes, which hold the reservation until their last reference is dropped.
     pub fn attach(self, body: Bytes) -> Bytes {
-        match body.is_empty() {
-            true => body,
-            false => Bytes::from_owner(Held { body, _permit: self.permit }),
-        }
+        with_guard(body, self.permit)
     }
 }
 
-struct Held {
+/// Bytes that keep a guard.
+struct Guarded<G> {
     body: Bytes,
-    _permit: Option<OwnedSemaphorePermit>,
+    _guard: G,
 }
 
-impl AsRef<[u8]> for Held {
+impl<G> AsRef<[u8]> for Guarded<G> {
     fn as_ref(&self) -> &[u8] {
         &self.body
     }
 }
 
+/// Returns the same bytes, whose last reference drops the guard. That of an empty body is dropped at
+/// once.
+pub fn with_guard<G: Send + 'static>(body: Bytes, guard: G) -> Bytes {
+    match body.is_empty() {
+        true => body,
+        false => Bytes::from_owner(Guarded { body, _guard: guard }),
+    }
+}
+
 /// The room for response bodies from one kind of source.
 #[derive(Debug)]
 pub struct ResponseBuffers {
--- a/daemon/src/mesh/unread.rs
+++ b/daemon/src/mesh/unread.rs
@@ -1,6 +1,7 @@
 //! Answers that their callers have not read whole, and the connections that they are written to.
 
 use {
+    super::buffer::with_guard,
     bytes::Bytes,
     monsoon_lib::time::Instant,
     slab::Slab,
@@ -32,11 +33,8 @@
 
     /// Returns the same bytes, which count as unread until their last reference is dropped.
     pub fn track(&self, body: Bytes, deadline: Instant, connection: &Arc<Notify>) -> Bytes {
-        if body.is_empty() {
-            return body;
-        }
         let key = self.lock().insert(Answer { deadline, connection: connection.clone() });
-        Bytes::from_owner(Unread { body, key, answers: self.clone() })
+        with_guard(body, Unread { key, answers: self.clone() })
     }
 
     /// Notifies the connections whose callers have left an answer unread beyond its deadline, so that
@@ -48,18 +46,12 @@
     }
 }
 
+/// The entry of an answer, which is removed on drop.
 struct Unread {
-    body: Bytes,
     key: usize,
     answers: UnreadAnswers,
 }
 
-impl AsRef<[u8]> for Unread {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 impl Drop for Unread {
     fn drop(&mut self) {
         self.answers.lock().remove(self.key);
