--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -156,19 +156,19 @@
         Err(refusal) => return refuse(mesh, &refusal, None),
     };
     let mut reservation = mesh.buffer.reservation();
-    let body = match read_body(mesh, body, &mut reservation).await {
+    let received = read_body(mesh, body, &mut reservation).await;
+    // What the targets get after the node has closed could be cut off when the process ends.
+    let received = received.and_then(|body| match mesh.is_closed.get() {
+        true => Err(Refusal::not_run(Reason::Leaving)),
+        false => Ok(body),
+    });
+    let body = match received {
         Ok(body) => body,
         Err(refusal) => {
             mesh.log_refusal(&head, &refusal, None, None, None);
             return refuse(mesh, &refusal, Some(&head.request));
         }
     };
-    if mesh.is_closed.get() {
-        // What the targets get now could be cut off when the process ends.
-        let refusal = Refusal::not_run(Reason::Leaving);
-        mesh.log_refusal(&head, &refusal, None, None, None);
-        return refuse(mesh, &refusal, Some(&head.request));
-    }
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let request = Request {
         method: parts.method.as_str().to_owned(),
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -44,13 +44,14 @@
 
 /// The server side of a link that a peer opened.
 pub struct PeerLink<H, D> {
-    pub mesh: Rc<Mesh<H, D>>,
+    mesh: Rc<Mesh<H, D>>,
     host: IpAddr,
     frames: mpsc::UnboundedSender<Frame>,
     /// The tasks of this link that its peer can cancel, by the numbers of their requests.
     pub runs: RefCell<HashMap<u64, AbortHandle>>,
     /// Whether the peer asks for long bodies. Earlier versions get them at once.
     asks_for_bodies: Cell<bool>,
+    /// The long bodies that wait until the peer asks for them.
     pub kept_bodies: KeptBodies,
 }
 
@@ -102,8 +103,7 @@
     });
     let mut buffer = BytesMut::new();
     let error = loop {
-        let received = receive(&link.mesh, &mut read, &mut buffer).await;
-        match received {
+        match receive(&link.mesh, &mut read, &mut buffer).await {
             Ok((received, reservation)) => dispatch(&link, received, reservation),
             Err(error) => break error,
         }
@@ -166,13 +166,7 @@
                 request, host:% = link.host;
                 "refused a request from a peer, since this node is leaving"
             );
-            let result = RunResult::Refused(Refusal::not_run(Reason::Leaving));
-            send_response(
-                link,
-                number,
-                PeerResponse::RunFinished { result, load: None, is_traced: false },
-                Bytes::new(),
-            );
+            refuse_run(link, number, Refusal::not_run(Reason::Leaving));
         }
         PeerRequest::Run { mut forwarded, method, target, fields } => {
             Supplement::complete_run(supplement.as_ref(), &mut forwarded);
@@ -184,14 +178,7 @@
                         request, host:% = link.host;
                         "refused a request, bodies fill the buffer"
                     );
-                    let result = RunResult::Refused(full.into());
-                    send_response(
-                        link,
-                        number,
-                        PeerResponse::RunFinished { result, load: None, is_traced: false },
-                        Bytes::new(),
-                    );
-                    return;
+                    return refuse_run(link, number, full.into());
                 }
             };
             let request = Rc::new(Request { method, target, fields, body });
@@ -239,6 +226,14 @@
     }
 }
 
+/// Responds to a request of a peer that did not reach the own target.
+fn refuse_run<H, D>(link: &PeerLink<H, D>, number: u64, refusal: Refusal) {
+    let result = RunResult::Refused(refusal);
+    let response = PeerResponse::RunFinished { result, load: None, is_traced: false };
+    send_response(link, number, response, Bytes::new());
+}
+
+/// Queues a response without attachments.
 pub fn send_response<H, D>(link: &PeerLink<H, D>, number: u64, message: PeerResponse, body: Bytes) {
     send_response_with(link, number, message, None, body);
 }
