review: show a repeated non-idempotent request (case 6)

A route whose name has more than 64 bytes is dropped instead of refused, and its requests fall to a route with a shorter prefix that permits repeats.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,12 @@
+//! The cases. Each returns whether its rule held.
+
+mod long_name;
+
+use {super::record::Record, std::io};
+
+pub fn run(case: &str, record: &Record, has_trouble: bool) -> io::Result<bool> {
+    match case {
+        "long-name" => long_name::run(record, has_trouble),
+        _ => Err(io::Error::other("there is no such case")),
+    }
+}
