--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 
 mod cases;
 mod http;
+mod proxy;
 mod record;
 mod server;
 mod site;
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -20,6 +20,8 @@
 
 /// The command of the deploy file, with the port of the metrics.
 const PROGRAM: &str = "target/release/monsoon-platform";
+/// The memory of each machine for its node.
+pub const MEMORY_MB: u64 = 260;
 /// Host of all routes.
 pub const HOST: &str = "shop.example";
 /// The key of the tenant that the clients belong to.
@@ -69,9 +71,18 @@
 
     /// Returns the highest memory use of the node so far, in kilobytes.
     pub fn peak_memory_kb(&self) -> u64 {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// Returns the present memory use of the node, in kilobytes.
+    pub fn present_memory_kb(&self) -> u64 {
+        self.memory_kb("VmRSS:")
+    }
+
+    fn memory_kb(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.node.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
     }
 
@@ -139,19 +150,34 @@
 
     /// Adds a machine and registers its server.
     pub fn add(&mut self, service: &str, zone: &str, slots: usize) -> io::Result<()> {
+        self.add_behind(service, zone, slots, 0).map(drop)
+    }
+
+    /// Adds a machine whose server is reached at another address than its node, which is `offset`
+    /// higher. Returns the address for peers that follows from it, and that of the node.
+    pub fn add_behind(
+        &mut self,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        offset: u8,
+    ) -> io::Result<(SocketAddr, SocketAddr)> {
         let number = self.machines.len() as u8 + 1;
         let ip = IpAddr::from(Ipv4Addr::new(127, self.network[0], self.network[1], number));
         let name = format!("m{number}");
         let ports = self.ports;
-        let server = Server::start(SocketAddr::new(ip, ports.server), &format!("i-{name}"), slots)?;
+        let reached_at =
+            IpAddr::from(Ipv4Addr::new(127, self.network[0], self.network[1], number + offset));
+        let server =
+            Server::start(SocketAddr::new(reached_at, ports.server), &format!("i-{name}"), slots)?;
         let settings = self.directory.join(format!("{name}.toml"));
-        fs::write(&settings, self.settings(&name, ip, service, zone))?;
+        fs::write(&settings, self.settings(&name, ip, server.address, service, zone))?;
         let log = self.directory.join(format!("{name}.log"));
         let node = Machine::spawn(&settings, &log, ports, self.max_descriptors)?;
         let (service, zone) = (service.to_owned(), zone.to_owned());
         self.machines.push(Machine { name, ip, service, zone, server, node, log, ports });
         self.register(self.machines.len() - 1, "ready");
-        Ok(())
+        Ok((SocketAddr::new(reached_at, ports.inbound), SocketAddr::new(ip, ports.inbound)))
     }
 
     /// Writes the entry of a machine's server.
@@ -190,7 +216,7 @@
         let tenants: Vec<String> =
             tenants.iter().map(|(name, key)| format!(r#"["{name}",["{key}"],1,0,0]"#)).collect();
         let configuration = format!(
-            r#"{{"version":"{version:08x}","routes":{{"columns":["name","host","prefix","kind","timeout_ms","target_latency_ms","priority","traffic_split","max_attempts","public","service"],"rows":[{}]}},"services":{{"columns":["name","health_path"],"rows":[{}]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":{idle_timeout_ms}}},"tenants":{{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[{}]}}}}"#,
+            r#"{{"version":"{version:08x}","routes":{{"columns":["name","host","prefix","kind","timeout_ms","target_latency_ms","priority","traffic_split","max_attempts","public","service"],"rows":[{}]}},"services":{{"columns":["name","health_path"],"rows":[{}]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":{idle_timeout_ms}}},"tenants":{{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[{}]}}}}"#,
             rows.join(","),
             services.join(","),
             tenants.join(",")
@@ -215,8 +241,15 @@
         Ok(())
     }
 
-    fn settings(&self, name: &str, ip: IpAddr, service: &str, zone: &str) -> String {
-        let Ports { inbound, outbound, ready, server, .. } = self.ports;
+    fn settings(
+        &self,
+        name: &str,
+        ip: IpAddr,
+        server: SocketAddr,
+        service: &str,
+        zone: &str,
+    ) -> String {
+        let Ports { inbound, outbound, ready, .. } = self.ports;
         let (store, descriptors) = (self.store.address, self.max_descriptors);
         format!(
             r#"[self]
@@ -229,12 +262,12 @@
 region = "r"
 counts_as_loss = false
 bootstrap = true
-app_addr = "{ip}:{server}"
+app_addr = "{server}"
 service = "{service}"
 [self.limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = 260
+memory_mb = {MEMORY_MB}
 max_fds = {descriptors}
 link_mbps = 1000.0
 disk_mb = 0
