--- a/review/standin-2/cases/long_name.rs
+++ b/review/standin-2/cases/long_name.rs
@@ -69,6 +69,7 @@
         std::thread::sleep(SEND_INTERVAL);
     }
 
+    site.record_runs(record);
     let mut servers: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for machine in &site.machines {
         for run in machine.server.runs() {
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub request: String,
+    /// The tenant that the system names.
+    pub tenant: Option<String>,
     pub at: Instant,
 }
 
@@ -80,7 +82,11 @@
             return Some(response("421 Misdirected Request", &[("X-Request-Id", &id)], b""));
         }
         let target = request.target().to_owned();
-        let run = Run { request: id.clone(), at: Instant::now() };
+        let run = Run {
+            request: id.clone(),
+            tenant: request.field("x-tenant").map(str::to_owned),
+            at: Instant::now(),
+        };
         let number = {
             let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
             runs.push(run);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -241,6 +241,21 @@
         Ok(())
     }
 
+    /// Records what each server ran.
+    pub fn record_runs(&self, record: &Record) {
+        for machine in &self.machines {
+            let (server, service) = (&machine.server.id, &machine.service);
+            for run in machine.server.runs() {
+                let (at, tenant) =
+                    (record.seconds(run.at), run.tenant.as_deref().unwrap_or("none"));
+                record.line(&format!(
+                    "{server} of {service} ran {} at {at:.3}, tenant {tenant}",
+                    run.request
+                ));
+            }
+        }
+    }
+
     fn settings(
         &self,
         name: &str,
