--- a/review/standin-2/cases/last_tenant.rs
+++ b/review/standin-2/cases/last_tenant.rs
@@ -82,6 +82,7 @@
         std::thread::sleep(SEND_INTERVAL);
     }
 
+    site.record_runs(record);
     let runs: Vec<_> = site.machines.iter().flat_map(|machine| machine.server.runs()).collect();
     record.line(&format!("{} requests sent, {} runs", sent.len(), runs.len()));
     let has_run = |sent: &&Sent| runs.iter().any(|run| run.request == sent.id);
@@ -102,6 +103,8 @@
     }
     let unknown = sent.iter().filter(|sent| sent.key == UNKNOWN_KEY).filter(has_run).count();
     record.line(&format!("{unknown} requests ran with {UNKNOWN_KEY}, which no configuration held"));
+    let nameless = runs.iter().filter(|run| run.tenant.is_none()).count();
+    record.line(&format!("{nameless} runs had no X-Tenant"));
     Ok(held && unknown == 0)
 }
 
