--- a/review/standin-2/cases/idle_connections.rs
+++ b/review/standin-2/cases/idle_connections.rs
@@ -21,7 +21,7 @@
 /// The platform's limit on descriptors of a process.
 const MAX_DESCRIPTORS: u32 = 4_100;
 /// How long the operator lets a connection be idle.
-const IDLE_TIMEOUT_MS: u32 = 5_000;
+const IDLE_TIMEOUT_MS: u32 = 15_000;
 /// Users that come to one machine in a second, each with a connection of its own.
 const USERS_PER_S: f64 = 75.0;
 /// How many times more come in the burst, and when.
@@ -39,6 +39,7 @@
 /// A user's attempt to be served on a new connection.
 #[derive(Clone, Copy)]
 struct Attempt {
+    number: usize,
     at: Instant,
     answered: Option<Instant>,
 }
@@ -93,6 +94,7 @@
     is_over.store(true, Ordering::Relaxed);
     let probes = prober.join().map_err(|_| io::Error::other("the prober failed"))?;
     let attempts = locked(&users.attempts).clone();
+    site.record_runs(record);
     let held = judge(record, &attempts, &probes);
     let log = site.machines[0].log();
     for line in log.lines().filter(|line| line.contains("failed to accept")).take(3) {
@@ -118,7 +120,7 @@
     };
     let connection = answered();
     let answered = connection.is_ok().then(Instant::now);
-    locked(&users.attempts).push(Attempt { at, answered });
+    locked(&users.attempts).push(Attempt { number, at, answered });
     locked(&users.connections).extend(connection);
 }
 
@@ -158,6 +160,15 @@
         attempts.iter().filter_map(|attempt| attempt.answered).collect();
     answers.sort_unstable();
     let taken = answers.len();
+    for Attempt { number, at, answered } in &by_time {
+        let answer = answered
+            .map_or("no answer".into(), |at| format!("answered at {:.3}", record.seconds(at)));
+        record.line(&format!("user {number}: sent at {:.3}, {answer}", record.seconds(*at)));
+    }
+    for (at, is_ready) in probes {
+        record
+            .line(&format!("asked at {:.3} whether m1 is ready: {is_ready}", record.seconds(*at)));
+    }
     record.line(&format!("{} users tried a new connection, {taken} were answered", by_time.len()));
     let mut longest: Option<(Duration, Instant, usize)> = None;
     for first in by_time.iter().filter(|attempt| attempt.answered.is_none()) {
