record: keep routes whose names are malformed

Cause: a name of more than 64 bytes is no id::Route. The replacement that refuses the requests of a route that can't be understood needed the same name, so the row was dropped, and a route with a shorter prefix took its requests, by its own kind and to its own pool. Ruled out: a resend of requests that may run once (with a short name the lost answers give 502), and a wrong kind (the route isn't in force at all).

The name only tells routes apart, so a malformed one is replaced by a valid one that ends with a hash of it, and the route is served.

--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -5,7 +5,8 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::{fmt, str::FromStr, sync::Arc},
+    siphasher::sip::SipHasher13,
+    std::{fmt, hash::Hasher as _, str::FromStr, sync::Arc},
 };
 
 /// The maximum length of a name, in bytes.
@@ -28,6 +29,10 @@
     InvalidHexadecimal(usize),
 }
 
+fn is_allowed(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
+}
+
 fn check_name(name: &str) -> Result<(), Error> {
     if name.is_empty() {
         return Err(Error::Empty);
@@ -35,13 +40,23 @@
     if name.len() > MAX_NAME_BYTES {
         return Err(Error::TooLong(name.len()));
     }
-    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     match name.chars().find(|c| !is_allowed(*c)) {
         Some(c) => Err(Error::InvalidCharacter(c)),
         None => Ok(()),
     }
 }
 
+/// Returns the valid characters of a malformed name, followed by a hash that tells it from others.
+fn substitute(name: &str) -> String {
+    // With the separator and the digits of the hash it is within the maximum length.
+    const MAX_CHARACTERS: usize = 40;
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    let replace = |c| if is_allowed(c) { c } else { '_' };
+    let readable: String = name.chars().take(MAX_CHARACTERS).map(replace).collect();
+    format!("{readable}-{:016x}", hasher.finish())
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
         $(#[$doc])*
@@ -54,6 +69,15 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Returns the name if it is valid, and otherwise a valid one that stands for it and that
+            /// differs for different names. For names that only have to tell objects apart.
+            pub fn sanitize(name: &str) -> Self {
+                match check_name(name) {
+                    Ok(()) => Self(name.into()),
+                    Err(_) => Self(substitute(name).into()),
+                }
+            }
         }
 
         impl fmt::Display for $type {
--- a/testutils/src/mesh/machine.rs
+++ b/testutils/src/mesh/machine.rs
@@ -384,6 +384,26 @@
         self.store.write("op/config", Some(&self.configuration));
     }
 
+    /// Publishes the last configuration once more with changes, which may make it invalid.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no configuration was published before.
+    pub fn edit(&mut self, change: impl FnOnce(&mut Value)) {
+        let mut configuration: Value =
+            serde_json::from_slice(&self.configuration).expect("a published configuration");
+        self.version += 3;
+        configuration["version"] = json!(format!("{:08x}", self.version));
+        change(&mut configuration);
+        self.configuration = configuration.to_string().into_bytes();
+        self.store.write("op/config", Some(&self.configuration));
+    }
+
+    /// Returns the version of the last configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Waits until all nodes are ready and know all their peers.
     pub async fn ready(&self) {
         for machine in &self.machines {
