tables: need a key also when no client account is left

Cause: whether requests need a key was derived from whether there are accounts, so an empty list counted as a configuration without keys. Ruled out: an old configuration in force (`tables in force` has the last version) and a lease confirmed by another document (requests ran without account).

The document says now whether the operator publishes accounts, empty and null lists included. Between nodes the layout stays: such a document travels with an account that has no key, so that nodes of earlier versions refuse as well.

--- a/daemon/src/mesh/replication.rs
+++ b/daemon/src/mesh/replication.rs
@@ -245,6 +245,7 @@
             revision: Revision(3),
             routes: Vec::new(),
             accounts: Vec::new(),
+            requires_key: false,
             health: BTreeMap::new(),
             bounds,
             cold,
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -98,6 +98,8 @@
     /// Whether the calls of a cancelled run are ended before the run, and its exchange with the
     /// target may go on for a while so that the connection can be kept.
     pub is_linger_enabled: bool,
+    /// Whether requests need a key also if the document has no client accounts.
+    pub requires_key: bool,
 }
 
 /// The reasons why a node is not ready for requests of callers.
@@ -310,12 +312,17 @@
         if self.facts.position() == Position::default() {
             return Err(NotReady::NoTargets);
         }
-        match table.requires_key() && !self.lease.is_valid(now) {
+        match self.requires_key(table) && !self.lease.is_valid(now) {
             true => Err(NotReady::KeysUnconfirmed),
             false => Ok(()),
         }
     }
 
+    /// Returns whether requests need a key, except on open routes.
+    fn requires_key(&self, table: &Table) -> bool {
+        self.settings.requires_key || table.requires_key()
+    }
+
     /// Returns the name of the local target's current instance, once its entry is known.
     pub fn own_target(&self) -> Option<id::Vm> {
         self.fleet.by_address(self.settings.target).map(|target| target.name.clone())
--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -106,13 +106,14 @@
             return Err(no_tables);
         }
         let mut account = head.key.as_ref().and_then(|key| table.account_of(key));
-        if table.requires_key() && !self.lease.is_valid(now) {
+        let requires_key = self.requires_key(&table);
+        if requires_key && !self.lease.is_valid(now) {
             if !route.is_open {
                 return Err(no_tables);
             }
             account = None;
         }
-        if table.requires_key() && !route.is_open && account.is_none() {
+        if requires_key && !route.is_open && account.is_none() {
             return Err(Refusal::not_run(Reason::Key));
         }
         let fingerprint = fingerprint(account.map(|account| &account.name), head.content_hash);
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -159,6 +159,12 @@
                 }
                 match Table::new(document.as_ref().clone()) {
                     Ok(table) => {
+                        if self.requires_key(&table) && table.accounts().is_empty() {
+                            log::warn!(
+                                revision:% = document.revision;
+                                "requests need a key, and no client account is published"
+                            );
+                        }
                         changes.table = Some(table.revision());
                         self.rate_limiter.set_table(now, &table);
                         let cold_limit = table.cold_limit(&self.settings.pool);
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -4,6 +4,8 @@
 //! A table is validated and put in force as a whole. Unlike [`crate::table::Set`], it names pools
 //! without listing their targets, splits a route over pools by weight and ranks requests by number.
 
+mod exchange;
+
 use {
     super::cold,
     crate::{
@@ -137,15 +139,19 @@
     pub idle_timeout: Duration,
 }
 
-/// The operator's configuration in the form that nodes exchange.
+/// The operator's configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "exchange::Document", into = "exchange::Document")]
 pub struct Document {
     /// The operator's revision number. Later documents have larger numbers.
     pub revision: Revision,
     /// The routes in any order.
     pub routes: Vec<Route>,
-    /// The client accounts. If there are none, no request needs a key.
+    /// The client accounts.
     pub accounts: Vec<Account>,
+    /// Whether the operator publishes client accounts, so that requests need a key. An operator that
+    /// has taken the keys of the last account away publishes none.
+    pub requires_key: bool,
     /// The health check paths of pools that have one.
     pub health: BTreeMap<id::Pool, String>,
     /// The limits on requests and connections.
@@ -153,7 +159,6 @@
     /// The bounds on cold targets, by pool, or `None` if they are not known because the document came
     /// from a node of an earlier version. Nodes exchange them beside the document, which those
     /// versions read without them.
-    #[serde(skip)]
     pub cold: Option<BTreeMap<id::Pool, cold::Limit>>,
 }
 
@@ -172,6 +177,7 @@
     by_host: HashMap<String, Vec<Arc<Route>>>,
     accounts: BTreeMap<id::Account, Arc<Account>>,
     by_key: HashMap<Digest, Arc<Account>>,
+    requires_key: bool,
     pools: BTreeSet<id::Pool>,
     health: BTreeMap<id::Pool, String>,
     bounds: Bounds,
@@ -190,6 +196,7 @@
             by_host: HashMap::new(),
             accounts: BTreeMap::new(),
             by_key: HashMap::new(),
+            requires_key: document.requires_key,
             pools: BTreeSet::new(),
             health: document.health,
             bounds: document.bounds,
@@ -277,9 +284,10 @@
         &self.accounts
     }
 
-    /// Returns whether requests need a key, except on open routes.
+    /// Returns whether requests need a key, except on open routes. There may be no account that
+    /// holds one.
     pub fn requires_key(&self) -> bool {
-        !self.accounts.is_empty()
+        self.requires_key
     }
 
     /// Returns the route of the host with the longest prefix that matches the path.
--- a/lib/tests/closed_target.rs
+++ b/lib/tests/closed_target.rs
@@ -60,6 +60,7 @@
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
         is_linger_enabled: false,
+        requires_key: false,
     };
     let mut node = Node::new(settings, 1);
     apply(&mut node, at(0), target(false, 1), 1);
--- a/lib/tests/deployment/mod.rs
+++ b/lib/tests/deployment/mod.rs
@@ -31,6 +31,7 @@
     Document {
         revision: Revision(1),
         routes,
+        requires_key: !accounts.is_empty(),
         accounts,
         health: BTreeMap::new(),
         bounds,
@@ -80,6 +81,7 @@
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
         is_linger_enabled: false,
+        requires_key: false,
     }
 }
 
--- a/lib/tests/silent_peers.rs
+++ b/lib/tests/silent_peers.rs
@@ -52,6 +52,7 @@
             route("new", Kind::Unsupported),
         ],
         accounts: Vec::new(),
+        requires_key: false,
         health: BTreeMap::new(),
         bounds: Bounds {
             head: Bytes(1 << 14),
@@ -92,6 +93,7 @@
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
         is_linger_enabled: false,
+        requires_key: false,
     };
     let mut node = Node::new(settings, 1);
     let position = |revision| Position::new(Era(1), Revision(revision));
--- a/lib/tests/store_eras.rs
+++ b/lib/tests/store_eras.rs
@@ -47,6 +47,7 @@
             burst: 0,
             keys: vec![Digest::of(b"key")],
         }],
+        requires_key: true,
         health: BTreeMap::new(),
         bounds: Bounds {
             head: Bytes(1),
@@ -154,6 +155,7 @@
         resend_window: Duration::from_secs(10),
         is_entry_admission_enabled: false,
         is_linger_enabled: false,
+        requires_key: false,
     };
     Node::new(settings, seed)
 }
