tables: put the valid parts of a document in force

A key that the operator took away went on working on all nodes if the same document had a prefix without a slash at an end, a route without weights, two routes with one prefix, or one key at two accounts.

Cause: such a document was refused as a whole, the one before stayed in force, and reads of the refused one confirmed it, since any later revision counted (`confirm_read`). Ruled out by reading: documents that can't be decoded at all, since no read of these confirms anything.

The parts are refused one by one instead: Unsupported routes, which keep their requests from shorter prefixes, and keys of two accounts. Rows of one account are joined with the lowest of their limits. A read confirms only the document in force. `Table::errors` tells the parts, which are logged.

mesh_facts::invalid_tables asked for the refusal of the whole table, which is the fault. faulty_tables replaces it: reported_errors asks for the same errors, and faulty_route and withdrawn_beside_fault for what callers get.

On the code before, hostile_configuration::withdrawn_beside_fault saw the withdrawn key accepted for 10 s after the first of its faults; it passes.

--- a/lib/src/mesh/node/admit.rs
+++ b/lib/src/mesh/node/admit.rs
@@ -106,6 +106,9 @@
             return Err(no_tables);
         }
         let mut account = head.key.as_ref().and_then(|key| table.account_of(key));
+        if !route.is_open && head.key.as_ref().is_some_and(|key| table.is_shared(key)) {
+            return Err(no_tables);
+        }
         let requires_key = self.requires_key(&table);
         if requires_key && !self.lease.is_valid(now) {
             if !route.is_open {
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -119,8 +119,7 @@
     pub fn confirm_read(&mut self, requested_at: Instant, era: Era, found: Revision) -> bool {
         let in_force = self.table.as_ref().map(|table| table.revision());
         // A copy may lack the document in force, and with it the one that follows.
-        let is_confirmed = in_force.is_some_and(|revision| revision <= found)
-            && self.eras.is_conclusive(requested_at, era);
+        let is_confirmed = in_force == Some(found) && self.eras.is_conclusive(requested_at, era);
         if is_confirmed {
             self.lease.confirm(requested_at);
         }
@@ -157,30 +156,27 @@
                 if !is_newer {
                     return;
                 }
-                match Table::new(document.as_ref().clone()) {
-                    Ok(table) => {
-                        if self.requires_key(&table) && table.accounts().is_empty() {
-                            log::warn!(
-                                revision:% = document.revision;
-                                "requests need a key, and no client account is published"
-                            );
-                        }
-                        changes.table = Some(table.revision());
-                        self.rate_limiter.set_table(now, &table);
-                        let cold_limit = table.cold_limit(&self.settings.pool);
-                        self.gate.cold_mut().set_limit(now, cold_limit);
-                        self.resend_budgets.retain(|pool, _| table.pools().contains(pool));
-                        let listed = self.facts.targets().cloned().collect();
-                        self.fleet.set_pools(now, table.known_pools(), listed);
-                        self.table = Some(Arc::new(table));
-                    }
-                    Err(error) => {
-                        log::warn!(
-                            "invalid routing table, revision {}: {error}",
-                            document.revision
-                        );
-                    }
+                let table = Table::new(document.as_ref().clone());
+                for error in table.errors() {
+                    log::warn!(
+                        revision:% = document.revision, error:% = error;
+                        "a part of the configuration is not in force as published"
+                    );
+                }
+                if self.requires_key(&table) && table.accounts().is_empty() {
+                    log::warn!(
+                        revision:% = document.revision;
+                        "requests need a key, and no client account is published"
+                    );
                 }
+                changes.table = Some(table.revision());
+                self.rate_limiter.set_table(now, &table);
+                let cold_limit = table.cold_limit(&self.settings.pool);
+                self.gate.cold_mut().set_limit(now, cold_limit);
+                self.resend_budgets.retain(|pool, _| table.pools().contains(pool));
+                let listed = self.facts.targets().cloned().collect();
+                self.fleet.set_pools(now, table.known_pools(), listed);
+                self.table = Some(Arc::new(table));
             }
             (Key::Target(_), Value::Target(target)) => {
                 changes.has_target_changes = true;
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -1,8 +1,10 @@
 //! The routing table: routes by host and prefix, client accounts and limits, published by the
 //! operator.
 //!
-//! A table is validated and put in force as a whole. Unlike [`crate::table::Set`], it names pools
-//! without listing their targets, splits a route over pools by weight and ranks requests by number.
+//! Unlike [`crate::table::Set`], a table names pools without listing their targets, splits a route
+//! over pools by weight and ranks requests by number. A document is put in force also if a part of
+//! it is invalid, since it may withdraw keys. Requests that such a part concerns are refused, see
+//! docs/design/platform.md.
 
 mod exchange;
 
@@ -15,16 +17,19 @@
     },
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         sync::Arc,
         time::Duration,
     },
 };
 
-/// The reason why a document can't be put in force.
+/// The reason why a part of a document is not put in force as published.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
-    /// A prefix does not begin and end with a slash.
+    /// A route names no host. Its requests are refused, whatever their host.
+    #[error("route {0} has no host")]
+    NoHost(id::Route),
+    /// A prefix does not begin and end with a slash. Paths that begin with it are refused.
     #[error("route {route}: the prefix {prefix:?} must begin and end with '/'")]
     Prefix {
         /// The route.
@@ -32,7 +37,8 @@
         /// The invalid prefix.
         prefix: String,
     },
-    /// Two routes have the same host and prefix.
+    /// Two routes have the same host and prefix. Unless they differ only in their names, their
+    /// requests are refused.
     #[error("routes {first} and {second} have the same host and prefix")]
     Ambiguous {
         /// The first of the two routes.
@@ -40,10 +46,10 @@
         /// The second of the two routes.
         second: id::Route,
     },
-    /// No pool of a route has a weight above 0.
+    /// No pool of a route has a weight above 0. Its requests are refused.
     #[error("route {0} has no pool with a weight above 0")]
     NoWeightedPool(id::Route),
-    /// Two accounts hold the same key.
+    /// Two accounts hold the same key. Requests with it are refused.
     #[error("accounts {first} and {second} hold the same key")]
     SharedKey {
         /// The first of the two accounts.
@@ -51,8 +57,14 @@
         /// The second of the two accounts.
         second: id::Account,
     },
+    /// An account is listed more than once. It holds all its keys and the lowest of its limits.
+    #[error("account {0} is listed more than once")]
+    RepeatedAccount(id::Account),
 }
 
+/// The host of routes that match requests of all hosts.
+pub const ANY_HOST: &str = "";
+
 /// A pool with its weight in the traffic split of a route.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WeightedPool {
@@ -84,9 +96,11 @@
 pub struct Route {
     /// The name of the route.
     pub name: id::Route,
-    /// The host of matching requests, without a port, in lower case.
+    /// The host of matching requests, without a port, in lower case, or [`ANY_HOST`] if it can't be
+    /// understood. Requests of a host go to its own routes first if the prefixes are equally long.
     pub host: String,
-    /// The path prefix of matching requests. It begins and ends with a slash.
+    /// The path prefix of matching requests. It begins and ends with a slash, or is empty if it can't
+    /// be understood. All requests of the host are then refused, since each may belong to the route.
     pub prefix: String,
     /// The pools that requests are split over.
     pub pools: Vec<WeightedPool>,
@@ -109,6 +123,38 @@
     pub fn is_idempotent(&self) -> bool {
         self.kind == Kind::Idempotent
     }
+
+    /// Returns why the requests of this route can't be handled as published.
+    fn error(&self) -> Option<Error> {
+        let name = || self.name.clone();
+        if self.host == ANY_HOST {
+            return Some(Error::NoHost(name()));
+        }
+        if !self.prefix.starts_with('/') || !self.prefix.ends_with('/') {
+            return Some(Error::Prefix { route: name(), prefix: self.prefix.clone() });
+        }
+        let has_weight = self.pools.iter().any(|pool| pool.weight > 0);
+        (!has_weight).then(|| Error::NoWeightedPool(name()))
+    }
+
+    /// Makes all requests of this route be refused as not run.
+    pub fn refuse(&mut self) {
+        self.kind = Kind::Unsupported;
+        self.is_open = false;
+        self.pools.clear();
+        // All paths begin with a slash, so that the prefix would match none without one.
+        if !self.prefix.is_empty() && !self.prefix.starts_with('/') {
+            self.prefix.insert(0, '/');
+        }
+    }
+
+    /// Returns the order in which routes that match a request are preferred. The highest goes first.
+    fn precedence(&self) -> usize {
+        match self.prefix.len() {
+            0 => usize::MAX,
+            length => length,
+        }
+    }
 }
 
 /// A client account.
@@ -126,6 +172,16 @@
     pub keys: Vec<Digest>,
 }
 
+impl Account {
+    /// Adds the keys of another entry of the same account, and lowers the limits to those of it.
+    fn merge(&mut self, other: &Self) {
+        self.rank = self.rank.max(other.rank);
+        self.rate = self.rate.into_iter().chain(other.rate).min();
+        self.burst = self.burst.min(other.burst);
+        self.keys.extend_from_slice(&other.keys);
+    }
+}
+
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Bounds {
@@ -177,7 +233,9 @@
     by_host: HashMap<String, Vec<Arc<Route>>>,
     accounts: BTreeMap<id::Account, Arc<Account>>,
     by_key: HashMap<Digest, Arc<Account>>,
+    shared_keys: HashSet<Digest>,
     requires_key: bool,
+    errors: Vec<Error>,
     pools: BTreeSet<id::Pool>,
     health: BTreeMap<id::Pool, String>,
     bounds: Bounds,
@@ -185,62 +243,72 @@
 }
 
 impl Table {
-    /// Validates and indexes a document.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a prefix is invalid, routes or keys are ambiguous, or a route has no weighted pool.
-    pub fn new(document: Document) -> Result<Self, Error> {
+    /// Validates and indexes a document. [`Table::errors`] tells which parts are invalid.
+    pub fn new(document: Document) -> Self {
         let mut table = Self {
             revision: document.revision,
             by_host: HashMap::new(),
             accounts: BTreeMap::new(),
             by_key: HashMap::new(),
+            shared_keys: HashSet::new(),
             requires_key: document.requires_key,
+            errors: Vec::new(),
             pools: BTreeSet::new(),
             health: document.health,
             bounds: document.bounds,
             cold: document.cold,
         };
         for route in document.routes {
-            table.add_route(route)?;
+            table.add_route(route);
         }
         for account in document.accounts {
-            table.add_account(Arc::new(account))?;
+            table.add_account(account);
         }
         for routes in table.by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.precedence()));
         }
-        Ok(table)
+        table
     }
 
-    fn add_route(&mut self, route: Route) -> Result<(), Error> {
-        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            return Err(Error::Prefix { route: route.name, prefix: route.prefix });
-        }
-        let is_supported = route.kind != Kind::Unsupported;
-        if is_supported && route.pools.iter().all(|pool| pool.weight == 0) {
-            return Err(Error::NoWeightedPool(route.name));
-        }
+    fn add_route(&mut self, mut route: Route) {
         self.pools.extend(route.pools.iter().map(|pool| pool.pool.clone()));
+        if route.kind != Kind::Unsupported
+            && let Some(error) = route.error()
+        {
+            self.errors.push(error);
+            route.refuse();
+        }
         let others = self.by_host.entry(route.host.clone()).or_default();
-        if let Some(other) = others.iter().find(|other| other.prefix == route.prefix) {
-            return Err(Error::Ambiguous { first: other.name.clone(), second: route.name });
+        let Some(other) = others.iter_mut().find(|other| other.prefix == route.prefix) else {
+            return others.push(Arc::new(route));
+        };
+        let (first, second) = (other.name.clone(), route.name.clone());
+        self.errors.push(Error::Ambiguous { first: first.clone(), second });
+        if **other != (Route { name: first, ..route }) {
+            Arc::make_mut(other).refuse();
         }
-        others.push(Arc::new(route));
-        Ok(())
     }
 
-    fn add_account(&mut self, account: Arc<Account>) -> Result<(), Error> {
+    fn add_account(&mut self, mut account: Account) {
+        if let Some(listed) = self.accounts.get(&account.name) {
+            self.errors.push(Error::RepeatedAccount(account.name.clone()));
+            account.merge(listed);
+        }
+        let account = Arc::new(account);
         for key in &account.keys {
-            let previous = self.by_key.insert(*key, account.clone());
-            if let Some(other) = previous.filter(|other| other.name != account.name) {
+            let holder = self.by_key.insert(*key, account.clone());
+            if let Some(other) = holder.filter(|other| other.name != account.name) {
                 let (first, second) = (other.name.clone(), account.name.clone());
-                return Err(Error::SharedKey { first, second });
+                self.errors.push(Error::SharedKey { first, second });
+                self.shared_keys.insert(*key);
             }
         }
         self.accounts.insert(account.name.clone(), account);
-        Ok(())
+    }
+
+    /// Returns which parts of the document are not in force as published.
+    pub fn errors(&self) -> &[Error] {
+        &self.errors
     }
 
     /// Returns the operator's revision number of the document.
@@ -292,12 +360,24 @@
 
     /// Returns the route of the host with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let own = self.longest_match(host, path);
+        let precedence = own.map_or(0, |route| route.precedence());
+        let other = self.longest_match(ANY_HOST, path);
+        other.filter(|route| route.precedence() > precedence).or(own)
+    }
+
+    fn longest_match(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.by_host.get(host)?;
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
     /// Returns the account that a key belongs to.
     pub fn account_of(&self, key: &Digest) -> Option<&Arc<Account>> {
-        self.by_key.get(key)
+        self.by_key.get(key).filter(|_| !self.is_shared(key))
+    }
+
+    /// Returns whether it is not known which account a key belongs to, as several hold it.
+    pub fn is_shared(&self, key: &Digest) -> bool {
+        self.shared_keys.contains(key)
     }
 }
