facts: put a document in force that changed without a new revision

A key that was taken away without a new revision number went on working: the document was stored but not put in force, and its reads confirmed the table before. faulty_tables::changed_in_place found the key accepted.

The store of facts gives out documents in order, so whatever it reports as changed is put in force unless its revision is older.

--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -148,12 +148,10 @@
     fn apply_fact(&mut self, now: Instant, fact: &Fact, changes: &mut Changes) {
         match (&fact.key, &fact.value) {
             (Key::Document, Value::Document(document)) => {
-                let is_newer = self.table.as_ref().is_none_or(|table| {
-                    let lacks_bounds = !table.has_cold_limits() && document.cold.is_some();
-                    table.revision() < document.revision
-                        || (table.revision() == document.revision && lacks_bounds)
-                });
-                if !is_newer {
+                // An operator may change a document without a new revision number.
+                let is_older =
+                    self.table.as_ref().is_some_and(|table| document.revision < table.revision());
+                if is_older {
                     return;
                 }
                 let table = Table::new(document.as_ref().clone());
--- a/lib/tests/faulty_tables.rs
+++ b/lib/tests/faulty_tables.rs
@@ -194,6 +194,15 @@
     assert_eq!(admit(&mut node, "k3"), Err(Reason::NoTables));
 }
 
+/// Guards against keys that go on working since they were withdrawn without a new revision number.
+#[test]
+fn changed_in_place() {
+    let mut node = node();
+    apply(&mut node, 2, document(vec![route("r1", "/a/")], vec![account("b", &["k2"])]));
+    assert_eq!(admit(&mut node, "k1"), Err(Reason::Key));
+    assert_eq!(admit(&mut node, "k2"), Ok(()));
+}
+
 /// Guards against a read that confirms the document in force although it found another one.
 #[test]
 fn unconfirmed_by_other() {
