--- a/daemon/src/mesh/front.rs
+++ b/daemon/src/mesh/front.rs
@@ -19,7 +19,10 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    monsoon_lib::call::{Reason, Refusal},
+    monsoon_lib::{
+        call::{Reason, Refusal},
+        mesh::table::Bounds,
+    },
     std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
@@ -27,8 +30,6 @@
     },
 };
 
-/// The limit of a request body while the node has no tables, in bytes.
-const MAX_BODY_BYTES: u64 = 64 << 20;
 /// The read buffer of a connection, in bytes. It holds the largest request head that tables allow.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// How many bytes of a refused body are read, so that the caller can read the answer: a connection
@@ -203,7 +204,8 @@
     body: Incoming,
     reservation: &mut Reservation,
 ) -> Result<Bytes, Refusal> {
-    let limit = mesh.node.borrow().table().map_or(MAX_BODY_BYTES, |table| table.bounds().body.0);
+    let bounds = mesh.node.borrow().table().map_or_else(Bounds::default, |table| *table.bounds());
+    let limit = bounds.body.0;
     let announced = body.size_hint().lower();
     if announced > limit {
         discard(body).await;
--- a/lib/src/mesh/table.rs
+++ b/lib/src/mesh/table.rs
@@ -195,6 +195,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            head: Bytes(64 << 10),
+            body: Bytes(64 << 20),
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// The operator's configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "exchange::Document", into = "exchange::Document")]
