target: treat statuses that no final response has as malformed

Statuses outside of 200 to 599 are now a mismatched response: the outcome is unknown, the caller gets 502 and the connection is not used again. The same holds for the result of a peer of an earlier version, and for targets of monsoond.

--- a/daemon/src/http/message.rs
+++ b/daemon/src/http/message.rs
@@ -113,6 +113,12 @@
     }
 }
 
+/// Returns whether a final response may have this status. One below 200 is not final, and one from
+/// 600 on belongs to no class, so callers can't tell what it means.
+pub fn is_final(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Returns the fields of a request that are forwarded to a target: all except the API key,
 /// hop-by-hop fields, `Host` and the fields that only the daemon may set.
 pub fn request_fields(headers: &HeaderMap) -> Vec<Field> {
--- a/daemon/src/mesh/relay.rs
+++ b/daemon/src/mesh/relay.rs
@@ -10,7 +10,7 @@
     },
     crate::{
         clock,
-        http::message::{Answer, Request},
+        http::message::{Answer, Request, is_final},
     },
     bytes::Bytes,
     monsoon_lib::{
@@ -303,6 +303,11 @@
                     None => self.hold_body(body, late_at).await,
                 };
                 match body {
+                    Ok(_) if !has_final_status(&result) => {
+                        // The peer is of an earlier version, which passes on any status.
+                        let cause = Cause::MismatchedResponse;
+                        (RunResult::MayHaveRun(cause.reason()), Bytes::new(), loads, Some(cause))
+                    }
                     Ok(body) => (result, body, loads, cause),
                     Err(cause) => {
                         let result = RunResult::MayHaveRun(cause.reason());
@@ -471,6 +476,10 @@
     }
 }
 
+fn has_final_status(result: &RunResult) -> bool {
+    !matches!(result, RunResult::Answered { status, .. } if !is_final(*status))
+}
+
 fn to_attempt_result(result: &RunResult) -> AttemptResult {
     match result {
         RunResult::Answered { has_failed, .. } => {
--- a/daemon/src/mesh/target.rs
+++ b/daemon/src/mesh/target.rs
@@ -12,7 +12,7 @@
         cause::Cause,
         socket,
     },
-    crate::http::message::{Answer, Field, Request, end_to_end_fields},
+    crate::http::message::{Answer, Field, Request, end_to_end_fields, is_final},
     bytes::{Bytes, BytesMut},
     connection::{Connection, Ending, Opening},
     http_body_util::{BodyExt as _, Full, Limited},
@@ -163,6 +163,14 @@
         };
         let headers = response.headers().clone();
         let status = response.status().as_u16();
+        let mismatched = || {
+            let error = format!("mismatched response with status {status}");
+            ExchangeResult::MayHaveRun(Cause::MismatchedResponse, error)
+        };
+        if !is_final(status) {
+            connection.set_ending(Ending::Broken);
+            return mismatched();
+        }
         let remaining = timeout.saturating_sub(sent_at.elapsed());
         let body = match tokio::time::timeout(remaining, self.read_body(response)).await {
             Ok(Ok(body)) => body,
@@ -181,10 +189,7 @@
         match header_adapter.classify_response(forwarded, status, &headers) {
             ResponseVerdict::Mismatched => {
                 connection.set_ending(Ending::Broken);
-                ExchangeResult::MayHaveRun(
-                    Cause::MismatchedResponse,
-                    format!("mismatched response with status {status}"),
-                )
+                mismatched()
             }
             ResponseVerdict::NotExecuted(refusal) => {
                 if connection.record_decline(id, sent_at + timeout) {
--- a/daemon/src/target.rs
+++ b/daemon/src/target.rs
@@ -3,6 +3,9 @@
 //! This client uses hyper because `awc` reports a truncated answer as complete, and a truncated
 //! answer must never be forwarded as complete. See docs/design/outcome.md.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::http::message::{
         self, ACCOUNT, Answer, CONTEXT, DEADLINE, LOAD, OUTCOME, REQUEST, Request,
@@ -133,6 +136,10 @@
 
     async fn read(&self, request: &Request, response: Response<Incoming>) -> CompletedRun {
         let status = response.status().as_u16();
+        if !message::is_final(status) {
+            log::debug!("the target responded with the malformed status {status}");
+            return CompletedRun::without_answer(RunResult::Broken);
+        }
         let is_head = request.method == "HEAD";
         if !is_head && !is_delimited(status, response.headers()) {
             return CompletedRun::without_answer(RunResult::Broken);
--- a/testutils/src/mesh/server.rs
+++ b/testutils/src/mesh/server.rs
@@ -443,7 +443,7 @@
         | Behaviour::Rejects
         | Behaviour::NeverReads => response("200 OK", id),
         Behaviour::Fails => response("500 Failed", id),
-        Behaviour::FailsWith(status) => response(&format!("{status} Failed"), id),
+        Behaviour::FailsWith(status) => response(&format!("{status:03} Failed"), id),
         Behaviour::DeclinesAnonymously => {
             "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into()
         }
