--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -61,6 +61,8 @@
     from: Vec<String>,
     /// Connections of an earlier epoch are closed.
     epoch: u64,
+    /// The connections up to this number forward nothing.
+    silenced: u64,
 }
 
 impl Control {
@@ -122,7 +124,14 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let faults = Faults::default();
-        let control = Control { upstream, faults, names: Vec::new(), from: Vec::new(), epoch: 0 };
+        let control = Control {
+            upstream,
+            faults,
+            names: Vec::new(),
+            from: Vec::new(),
+            epoch: 0,
+            silenced: 0,
+        };
         let control = watch::Sender::new(control);
         let counters = Arc::new(Counters::default());
         let accept = accept(listener, seed, control.subscribe(), counters.clone());
@@ -175,6 +184,12 @@
         self.control.send_modify(|control| control.epoch += 1);
     }
 
+    /// Makes all open connections silent for good, without closing them. New ones are forwarded.
+    pub fn silence(&self) {
+        let silenced = self.counts().connections;
+        self.control.send_modify(|control| control.silenced = silenced);
+    }
+
     /// Returns the counts since the start.
     pub fn counts(&self) -> Counts {
         Counts {
@@ -207,13 +222,15 @@
         counters.connections.fetch_add(1, Ordering::Relaxed);
         let random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
         let source = Source::default();
-        let link = Link { control: control.clone(), counters: counters.clone(), random, source };
+        let (control, counters) = (control.clone(), counters.clone());
+        let link = Link { number, control, counters, random, source };
         connections.spawn(link.connect(client));
     }
 }
 
 /// A connection through the proxy.
 struct Link {
+    number: u64,
     control: watch::Receiver<Control>,
     counters: Arc<Counters>,
     random: ChaCha8Rng,
@@ -224,11 +241,24 @@
     async fn connect(mut self, client: TcpStream) {
         let epoch = self.control.borrow().epoch;
         let mut cut = self.control.clone();
+        let mut silenced = self.control.clone();
+        let number = self.number;
         let source = self.source.clone();
         let is_cut = move |c: &Control| c.epoch != epoch || c.faults(&source).mode == Mode::Refuse;
+        let traffic = async {
+            let mut forward = std::pin::pin!(self.forward(client));
+            let is_silenced = tokio::select! {
+                _ = silenced.wait_for(|c| c.silenced >= number) => true,
+                _ = &mut forward => false,
+            };
+            if is_silenced {
+                // The connection stays open as long as `forward` holds it.
+                std::future::pending::<()>().await;
+            }
+        };
         tokio::select! {
             _ = cut.wait_for(is_cut) => {}
-            _ = self.forward(client) => {}
+            () = traffic => {}
         }
     }
 
