--- a/review/standin-3/cases/crash_memory.rs
+++ b/review/standin-3/cases/crash_memory.rs
@@ -4,7 +4,7 @@
     crate::{
         Error, Verdict, client,
         server::{CRASHING_PATH, Settings},
-        site::{CALM, KEY, Route, Site},
+        site::{CALM, KEY, Route, Site, TWHAA_MESH},
     },
     std::{
         net::{Ipv4Addr, SocketAddrV4},
@@ -33,7 +33,7 @@
 const STABILITY: Duration = Duration::from_millis(3_000);
 
 pub fn run(has_trouble: bool) -> Result<Verdict, Error> {
-    let mut site = Site::start(MACHINES as u8, &ROUTES, |i| Settings {
+    let mut site = Site::start(TWHAA_MESH, MACHINES as u8, &ROUTES, |i| Settings {
         id: format!("i-desk{i}"),
         service: "desk".into(),
         zone: "za".into(),
@@ -63,7 +63,7 @@
                 body: Vec::new(),
             };
             let node = site.outbound(number % MACHINES);
-            client::send(node, KEY, &request, None, &site.record, || {});
+            client::send(node, KEY, &request, &site.record);
             thread::sleep(PAUSE);
         }
     }
--- a/review/standin-3/cases/cut_watch.rs
+++ b/review/standin-3/cases/cut_watch.rs
@@ -5,7 +5,7 @@
     crate::{
         Error, Verdict, client,
         server::{Server, Settings},
-        site::{DRAIN, KEY, Route, Site},
+        site::{KEY, Route, Site, TWHAA_MESH},
     },
     std::{
         net::{Ipv4Addr, SocketAddrV4},
@@ -47,7 +47,7 @@
 }
 
 pub fn run(has_trouble: bool) -> Result<Verdict, Error> {
-    let site = Site::start(SERVICES.len() as u8, &ROUTES, |i| Settings {
+    let site = Site::start(TWHAA_MESH, SERVICES.len() as u8, &ROUTES, |i| Settings {
         id: format!("i-{i}"),
         service: SERVICES[usize::from(i)].into(),
         zone: "za".into(),
@@ -100,7 +100,7 @@
                     budget: Duration::from_secs(5),
                     body: Vec::new(),
                 };
-                client::send(node, KEY, &request, None, &record, || {});
+                client::send(node, KEY, &request, &record);
                 thread::sleep(PAUSE);
             }
         })
@@ -118,8 +118,10 @@
     thread::sleep(AFTER);
     let arrivals = server.arrivals();
     let before = arrivals.iter().filter(|arrival| arrival.at < removed_at).count();
-    let late: Vec<Duration> =
-        arrivals.iter().filter_map(|arrival| arrival.at.checked_sub(removed_at + DRAIN)).collect();
+    let late: Vec<Duration> = arrivals
+        .iter()
+        .filter_map(|arrival| arrival.at.checked_sub(removed_at + TWHAA_MESH.drain()))
+        .collect();
     let last = late.iter().max().copied().unwrap_or_default();
     site.record.write(&format!(
         "i-{machine} got {before} requests before its removal, and {} later than drain_ms after it, \
--- a/review/standin-3/cases/queued_departure.rs
+++ b/review/standin-3/cases/queued_departure.rs
@@ -4,7 +4,7 @@
     crate::{
         Error, Verdict, client,
         server::Settings,
-        site::{DRAIN, KEY, Route, Site},
+        site::{KEY, Route, Site, TWHAA_MESH},
     },
     std::{
         net::{Ipv4Addr, SocketAddrV4},
@@ -43,7 +43,7 @@
 }
 
 pub fn run(has_trouble: bool) -> Result<Verdict, Error> {
-    let site = Site::start(SERVICES.len() as u8, &ROUTES, |i| Settings {
+    let site = Site::start(TWHAA_MESH, SERVICES.len() as u8, &ROUTES, |i| Settings {
         id: format!("i-{i}"),
         service: SERVICES[usize::from(i)].into(),
         zone: "za".into(),
@@ -62,7 +62,7 @@
             budget: BUDGET,
             body: Vec::new(),
         };
-        move || client::send(node, KEY, &request, None, &record, || {})
+        move || client::send(node, KEY, &request, &record)
     };
     for number in 0..EARLIER_REQUESTS {
         let earlier: Vec<_> =
@@ -91,8 +91,10 @@
         site.record.write(&format!("i-3 got {} requests and did not leave", arrivals.len()));
         return Ok(Verdict::Held);
     }
-    let late: Vec<Duration> =
-        arrivals.iter().filter_map(|arrival| arrival.at.checked_sub(left_at + DRAIN)).collect();
+    let late: Vec<Duration> = arrivals
+        .iter()
+        .filter_map(|arrival| arrival.at.checked_sub(left_at + TWHAA_MESH.drain()))
+        .collect();
     let last = late.iter().max().copied().unwrap_or_default();
     site.record.write(&format!(
         "i-3 got {} requests, {} of them later than drain_ms after its removal, the last one {} ms \
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -104,9 +104,14 @@
         let first = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let port = first.local_addr()?.port();
         drop(first);
-        if hosts.iter().all(|host| std::net::TcpListener::bind((*host, port)).is_ok()) {
+        if is_free(port, hosts) {
             return Ok(port);
         }
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
+
+/// Returns whether a port is free on all the given addresses.
+pub fn is_free(port: u16, hosts: &[Ipv4Addr]) -> bool {
+    hosts.iter().all(|host| std::net::TcpListener::bind((*host, port)).is_ok())
+}
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Error,
-        http::{connect, free_port, read_head},
+        http::{connect, free_port, is_free, read_head},
         record::Record,
         server::{self, Server},
         store::Store,
@@ -22,7 +22,8 @@
 
 /// The command of `deploy/system.toml`, which is run in the root of the repository.
 const PROGRAM: &str = "target/release/monsoon-platform";
-const ARGUMENTS: [&str; 2] = ["--metrics-port", "7009"];
+/// The port of the metrics in that command. Another one is used if it is not free.
+const METRICS_PORT: u16 = 7009;
 /// The key of the only client account.
 pub const KEY: &str = "key-of-alpha";
 /// The time of the store and all machines without a disturbance after which rules are judged, with
@@ -31,12 +32,35 @@
 /// The time between the starts of two machines, so that their servers do not write their entries at the
 /// same moments.
 const START_INTERVAL: Duration = Duration::from_millis(500);
-/// `drain_ms` in the settings.
-pub const DRAIN: Duration = Duration::from_millis(2_000);
-/// `memory_mb` in the settings.
-pub const MEMORY_MB: u64 = 260;
 /// `grace_s` in the settings.
-pub const GRACE: Duration = Duration::from_secs(6);
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The settings in which the sites of the cases differ.
+pub struct Terms {
+    pub ack_ms: u32,
+    pub catch_up_s: u32,
+    pub drain_ms: u32,
+    pub config_apply_ms: u32,
+    pub budget_slack: u32,
+    pub reads_per_s: u32,
+}
+
+impl Terms {
+    /// Returns `drain_ms`.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms.into())
+    }
+}
+
+/// The settings of twhaa-mesh.
+pub const TWHAA_MESH: Terms = Terms {
+    ack_ms: 4_000,
+    catch_up_s: 4,
+    drain_ms: 2_000,
+    config_apply_ms: 2_000,
+    budget_slack: 48,
+    reads_per_s: 2_000,
+};
 
 /// A machine with a server and a node.
 pub struct Machine {
@@ -55,6 +79,7 @@
     root: PathBuf,
     folder: PathBuf,
     ports: Ports,
+    terms: Terms,
 }
 
 #[derive(Clone, Copy)]
@@ -63,6 +88,7 @@
     outbound: u16,
     ready: u16,
     app: u16,
+    metrics: u16,
 }
 
 /// What a route of the configuration says beside its service.
@@ -79,6 +105,7 @@
     /// Starts a store with the routes and an account, and `count` machines whose servers are as
     /// `server` says.
     pub fn start(
+        terms: Terms,
         count: u8,
         routes: &[Route],
         server: impl Fn(u8) -> server::Settings,
@@ -90,19 +117,26 @@
         let host = |last| Ipv4Addr::new(127, high, low, last);
         let hosts: Vec<Ipv4Addr> = (1..=count).map(host).collect();
         let mut ports = Vec::new();
-        while ports.len() < 4 {
+        while ports.len() < 5 {
             let port = free_port(&hosts)?;
-            if !ports.contains(&port) && port != 7009 {
+            if !ports.contains(&port) && port != METRICS_PORT {
                 ports.push(port);
             }
         }
-        let ports = Ports { inbound: ports[0], outbound: ports[1], ready: ports[2], app: ports[3] };
+        let is_metrics_port_free = is_free(METRICS_PORT, &hosts);
+        let ports = Ports {
+            inbound: ports[0],
+            outbound: ports[1],
+            ready: ports[2],
+            app: ports[3],
+            metrics: if is_metrics_port_free { METRICS_PORT } else { ports[4] },
+        };
         let folder = env::temp_dir().join(format!("monsoon-review-3-{id}"));
         fs::create_dir_all(&folder)?;
         let record = Record::create()?;
         let store = Store::start(host(250))?;
         store.write("op/config", Some(&configuration(routes)));
-        let mut site = Self { store, record, machines: Vec::new(), root, folder, ports };
+        let mut site = Self { store, record, machines: Vec::new(), root, folder, ports, terms };
         for (i, host) in hosts.into_iter().enumerate() {
             let settings =
                 server::Settings { address: SocketAddrV4::new(host, ports.app), ..server(i as u8) };
@@ -131,7 +165,8 @@
         let machine = &mut self.machines[machine];
         let log = File::options().create(true).append(true).open(&machine.log)?;
         let mut command = Command::new(root.join(PROGRAM));
-        command.args(ARGUMENTS).current_dir(&root).env_clear();
+        let metrics = self.ports.metrics.to_string();
+        command.args(["--metrics-port", &metrics]).current_dir(&root).env_clear();
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = env::var_os(name) {
                 command.env(name, value);
@@ -174,23 +209,6 @@
         Ok(())
     }
 
-    /// Kills the node of a machine if it uses more memory than `memory_mb`, as the platform does.
-    /// Returns its memory in kB, and whether it was killed.
-    pub fn limit_memory(&mut self, machine: usize) -> Result<(u64, bool), Error> {
-        let machine = &mut self.machines[machine];
-        let Some(node) = &mut machine.node else { return Err("the node does not run".into()) };
-        let status = fs::read_to_string(format!("/proc/{}/status", node.id()))?;
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let resident = resident.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok());
-        let resident: u64 = resident.ok_or("the memory of the node is not known")?;
-        let is_exceeded = resident > MEMORY_MB * 1024;
-        if is_exceeded {
-            node.kill()?;
-            self.record.write(&format!("node at {} killed, it uses {resident} kB", machine.host));
-        }
-        Ok((resident, is_exceeded))
-    }
-
     /// Returns the address of a machine's node for clients.
     pub fn outbound(&self, machine: usize) -> SocketAddrV4 {
         SocketAddrV4::new(self.machines[machine].host, self.ports.outbound)
@@ -221,6 +239,8 @@
 
     fn node_settings(&self, number: usize, host: Ipv4Addr, server: &server::Settings) -> String {
         let Ports { inbound, outbound, ready, .. } = self.ports;
+        let Terms { ack_ms, catch_up_s, drain_ms, config_apply_ms, budget_slack, reads_per_s } =
+            self.terms;
         let server::Settings { service, zone, address, .. } = server;
         let store = self.store.address();
         format!(
@@ -239,7 +259,7 @@
 [self.limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = {MEMORY_MB}
+memory_mb = 260
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -260,7 +280,7 @@
 address = "{store}"
 form = "read"
 writes_per_s = 400
-reads_per_s = 2000
+reads_per_s = {reads_per_s}
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
@@ -274,19 +294,19 @@
 seed_lag_s = 3
 reuse_after_s = 2
 stability_ms = 3000
-ack_ms = 4000
-catch_up_s = 4
-drain_ms = 2000
+ack_ms = {ack_ms}
+catch_up_s = {catch_up_s}
+drain_ms = {drain_ms}
 grace_s = 6
 loss_slack_ms = 200
-config_apply_ms = 2000
+config_apply_ms = {config_apply_ms}
 rollback_slack_ms = 250
 max_stretch_ms = 5000
 strict_revocation = true
 revoke_ms = 5000
 retry_budget_ratio = 0.2
 budget_window_s = 10
-budget_slack = 48
+budget_slack = {budget_slack}
 quota_window_s = 5
 quota_over = 0.25
 quota_slack = 20
