--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -58,6 +58,7 @@
     /// The number of crashes. A connection of an earlier life is closed.
     crashes: AtomicUsize,
     down_until: Mutex<Option<Instant>>,
+    is_listening: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -77,6 +78,7 @@
             is_listed: AtomicBool::new(true),
             crashes: AtomicUsize::new(0),
             down_until: Mutex::default(),
+            is_listening: AtomicBool::new(true),
             connections: Mutex::default(),
         }));
         let (accepting, heart, store) = (server.clone(), server.clone(), store.clone());
@@ -141,11 +143,13 @@
         loop {
             if self.is_down() {
                 listener = None;
+                self.0.is_listening.store(false, Ordering::SeqCst);
                 thread::sleep(CLOSE_CHECK);
                 continue;
             }
             let Some(open) = &listener else {
                 listener = TcpListener::bind(self.0.settings.address).ok();
+                self.0.is_listening.store(listener.is_some(), Ordering::SeqCst);
                 continue;
             };
             // A crash wakes the thread by a connection of its own.
@@ -170,12 +174,16 @@
         *self.0.down_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
         self.0.crashes.fetch_add(1, Ordering::SeqCst);
         self.0.record.write(&format!("{} crashes", self.0.settings.id));
+        // As the end of a process, a crash closes the listener before anybody can learn of it.
+        let _ = TcpStream::connect(self.0.settings.address);
+        while self.0.is_listening.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
         let mut connections = self.0.connections.lock().unwrap_or_else(PoisonError::into_inner);
         for connection in connections.drain(..) {
             // It may have ended already.
             let _ = connection.shutdown(Shutdown::Both);
         }
-        let _ = TcpStream::connect(self.0.settings.address);
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
