--- a/review/standin-3/cases/queued_departure.rs
+++ b/review/standin-3/cases/queued_departure.rs
@@ -4,7 +4,7 @@
     crate::{
         Error, Verdict, client,
         server::Settings,
-        site::{KEY, Route, Site, TWHAA_MESH},
+        site::{KEY, Route, STW_HQ_MESH_GROWN, Site},
     },
     std::{
         net::{Ipv4Addr, SocketAddrV4},
@@ -19,14 +19,15 @@
 const WORK: Duration = Duration::from_millis(910);
 const SLOTS: usize = 4;
 /// The services of the machines. Clients are beside the first two, and send to the other service.
-const SERVICES: [&str; 4] = ["front", "front", "meteo", "meteo"];
+const SERVICES: [&str; 9] =
+    ["front", "front", "meteo", "meteo", "meteo", "meteo", "meteo", "meteo", "meteo"];
 const CLIENT_MACHINES: usize = 2;
 /// The machine whose server leaves.
-const LEAVING: usize = 3;
+const LEAVING: usize = 8;
 /// The requests before the load rises, one after the other on each machine with clients.
 const EARLIER_REQUESTS: usize = 6;
 /// The requests that come at once.
-const REQUESTS: usize = 30;
+const REQUESTS: usize = 105;
 /// The time from these requests to the server's departure.
 const LEAVES_AFTER: Duration = Duration::from_millis(50);
 const END: Duration = Duration::from_secs(6);
@@ -43,7 +44,7 @@
 }
 
 pub fn run(has_trouble: bool) -> Result<Verdict, Error> {
-    let site = Site::start(TWHAA_MESH, SERVICES.len() as u8, &ROUTES, |i| Settings {
+    let site = Site::start(STW_HQ_MESH_GROWN, SERVICES.len() as u8, &ROUTES, |i| Settings {
         id: format!("i-{i}"),
         service: SERVICES[usize::from(i)].into(),
         zone: "za".into(),
@@ -76,7 +77,7 @@
     let leaving = &site.machines[LEAVING].server;
     if has_trouble {
         leaving.remove_entry(&site.store);
-        site.record.write("the store has acknowledged the removal of i-3, which goes on serving");
+        site.record.write("the store has acknowledged the removal of i-8, which goes on serving");
     }
     let left_at = site.record.now();
     thread::sleep(END);
@@ -88,16 +89,16 @@
         return Err("the server got no requests".into());
     }
     if !has_trouble {
-        site.record.write(&format!("i-3 got {} requests and did not leave", arrivals.len()));
+        site.record.write(&format!("i-8 got {} requests and did not leave", arrivals.len()));
         return Ok(Verdict::Held);
     }
     let late: Vec<Duration> = arrivals
         .iter()
-        .filter_map(|arrival| arrival.at.checked_sub(left_at + TWHAA_MESH.drain()))
+        .filter_map(|arrival| arrival.at.checked_sub(left_at + STW_HQ_MESH_GROWN.drain()))
         .collect();
     let last = late.iter().max().copied().unwrap_or_default();
     site.record.write(&format!(
-        "i-3 got {} requests, {} of them later than drain_ms after its removal, the last one {} ms \
+        "i-8 got {} requests, {} of them later than drain_ms after its removal, the last one {} ms \
          late",
         arrivals.len(),
         late.len(),
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -62,6 +62,16 @@
     reads_per_s: 2_000,
 };
 
+/// The settings of stw-hq-mesh-grown.
+pub const STW_HQ_MESH_GROWN: Terms = Terms {
+    ack_ms: 5_000,
+    catch_up_s: 6,
+    drain_ms: 2_500,
+    config_apply_ms: 2_500,
+    budget_slack: 94,
+    reads_per_s: 6_000,
+};
+
 /// A machine with a server and a node.
 pub struct Machine {
     pub host: Ipv4Addr,
