mesh: tell a failed read from an outage of the platform

Cause: each failed read counted as an outage, in which removed entries are kept.

The reader repeats a failed read of the document at once, on a new connection, before it gives up its role. A target's node probes twice before it vouches, a failed call to it does not mean that it does not, and followers take the time of an outage from the response. A watch that fails while reads find changes is followed by a listing.

--- a/daemon/src/mesh/adapter.rs
+++ b/daemon/src/mesh/adapter.rs
@@ -125,6 +125,17 @@
     Malformed(String),
 }
 
+impl Error {
+    /// Returns whether the directory responded and did not turn this node away, so that it is in
+    /// service although the read has no result.
+    pub fn is_response(&self) -> bool {
+        match self {
+            Self::Compacted(_) | Self::Restored(_) | Self::Malformed(_) => true,
+            Self::Refused(_) | Self::NoResponse(_) => false,
+        }
+    }
+}
+
 /// Read-only access to the facts that the platform publishes.
 pub trait Directory: 'static {
     /// Reads a full listing of all facts.
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -83,7 +83,9 @@
         while clock::now() < deadline {
             match self.directory.list_targets_stale().await {
                 Ok(targets) => {
-                    self.node.borrow_mut().add_peers(clock::now(), &targets);
+                    let now = clock::now();
+                    self.node.borrow_mut().record_response(now);
+                    self.node.borrow_mut().add_peers(now, &targets);
                     if targets.iter().any(|target| target.address == own_target) {
                         return;
                     }
@@ -187,8 +189,9 @@
             let node = self.node.borrow();
             let targets = node.fleet().iter().count();
             let leaving = node.fleet().iter().filter(|target| target.is_leaving).count();
+            let missing = node.missing().count();
             log::info!(
-                position:% = node.facts().position(), targets, leaving, from:% = from;
+                position:% = node.facts().position(), targets, leaving, missing, from:% = from;
                 "targets changed"
             );
             drop(node);
@@ -199,7 +202,11 @@
 
     fn on_read_error(&self, error: &adapter::Error, read: &str) {
         log::warn!(error:% = error, read; "failed to read the platform");
-        self.node.borrow_mut().record_outage(clock::now());
+        let now = clock::now();
+        match error.is_response() {
+            true => self.node.borrow_mut().record_response(now),
+            false => self.node.borrow_mut().record_failed_read(now),
+        }
     }
 
     /// Returns whether this node has to follow the changes on the platform by itself.
@@ -242,6 +249,7 @@
             match read {
                 Ok(Listing { facts, position }) => {
                     let now = clock::now();
+                    self.node.borrow_mut().record_response(now);
                     let changes = match is_listed {
                         true => self.node.borrow_mut().apply(now, &facts, position),
                         false => self.node.borrow_mut().apply_listing(now, &facts, position),
@@ -256,7 +264,10 @@
                     tokio::time::sleep(WATCH_DELAY).await;
                 }
                 Err(error) => {
-                    is_listed &= !matches!(error, adapter::Error::Compacted(_));
+                    // A watch that is refused again and again must not hide changes that reads find.
+                    let give_up_at = self.node.borrow().lag().give_up_watch_at();
+                    let is_overdue = give_up_at.is_some_and(|at| at <= clock::now());
+                    is_listed &= !matches!(error, adapter::Error::Compacted(_)) && !is_overdue;
                     self.on_read_error(&error, "changes");
                     // Tells at once whether this node can still read for its peers.
                     self.is_read_due.set(true);
@@ -304,10 +315,11 @@
                 }
                 Err(error) => {
                     self.on_read_error(&error, "document");
-                    // Peers that wait for facts have to look for another source.
-                    self.last_platform_read.set(None);
+                    if schedule.record_failure(clock::now(), role, place) {
+                        // Peers that wait for facts have to look for another source.
+                        self.last_platform_read.set(None);
+                    }
                     self.state_changed.notify_waiters();
-                    schedule.record_failure(clock::now(), role, place);
                 }
             }
         }
@@ -323,6 +335,7 @@
     fn on_document(self: &Rc<Self>, requested_at: Instant, read: DocumentRead) {
         self.last_platform_read.set(Some(requested_at));
         let now = clock::now();
+        self.node.borrow_mut().record_response(requested_at);
         if self.node.borrow_mut().record_era(now, read.position.era) {
             self.store_restored.notify_waiters();
         }
@@ -412,7 +425,8 @@
             node.peers_mut().record_contact(now, host, None);
             if let Some(Extension::Update { outage_age_ms: Some(age_ms), .. }) = response.extension
             {
-                node.record_outage(requested_at - Duration::from_millis(age_ms));
+                // The peer states the age when it responds, which may be long after the request.
+                node.record_outage(now - Duration::from_millis(age_ms));
             }
             let changes = node.apply_update(now, &update);
             if let Some(age_ms) = confirmed_age_ms {
--- a/daemon/src/mesh/vouch.rs
+++ b/daemon/src/mesh/vouch.rs
@@ -8,16 +8,18 @@
 use {
     super::{
         Mesh,
-        adapter::{Directory, HeaderAdapter},
+        adapter::{self, Directory, HeaderAdapter},
         frame::{PeerRequest, PeerResponse},
     },
     crate::clock,
     bytes::Bytes,
+    futures::future::{self, Either},
     monsoon_lib::{id, mesh::fleet::OUTAGE_GRACE, time::Instant},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeSet,
         net::IpAddr,
+        pin::pin,
         rc::Rc,
         time::Duration,
     },
@@ -28,6 +30,11 @@
 const VOUCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// How often a peer is asked while its target has no entry.
 const VOUCH_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How soon a peer that did not answer is asked again. The target is kept meanwhile, but not for longer
+/// than without an answer at all.
+const VOUCH_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long the first probe of the platform may take until a second one is made beside it.
+const SECOND_PROBE_DELAY: Duration = Duration::from_millis(150);
 /// How long the result of a check of the node's own target is reused.
 const CHECK_CACHE_TIME: Duration = Duration::from_millis(700);
 
@@ -36,7 +43,9 @@
 pub struct VouchState {
     /// The targets whose nodes are being polled.
     polled: RefCell<BTreeSet<id::Vm>>,
-    /// When a probe of the platform last failed.
+    /// The first of the checks since the last successful one that found the platform unreachable.
+    unreachable_since: Cell<Option<Instant>>,
+    /// The last check that found the platform unreachable after another one had.
     last_unreachable: Cell<Option<Instant>>,
     /// The last check of the node's own target: its time and the instance that was found alive.
     last_check: tokio::sync::Mutex<Option<(Instant, Option<id::Vm>)>>,
@@ -58,7 +67,10 @@
 
     async fn poll_missing_target(self: Rc<Self>, target: id::Vm, host: IpAddr) {
         while self.node.borrow().missing().any(|missing| missing.name == target) {
-            let is_vouched = self.is_vouched(&target, host).await;
+            let Some(is_vouched) = self.ask_whether_vouched(&target, host).await else {
+                tokio::time::sleep(VOUCH_RETRY_DELAY).await;
+                continue;
+            };
             log::info!(
                 target = target.as_str(), host:% = host, is_vouched;
                 "target has no entry in the directory"
@@ -69,28 +81,29 @@
         self.vouching.polled.borrow_mut().remove(&target);
     }
 
-    async fn is_vouched(&self, target: &id::Vm, host: IpAddr) -> bool {
+    /// Returns whether the node of a target vouches for it, or `None` if it does not answer.
+    async fn ask_whether_vouched(&self, target: &id::Vm, host: IpAddr) -> Option<bool> {
         if host == self.node.borrow().settings().host {
-            return self.vouches_for(target).await;
+            return Some(self.vouches_for(target).await);
         }
         let request = PeerRequest::Vouch { target: target.clone() };
         let response = self.links.request(host, request, Bytes::new());
         match tokio::time::timeout(VOUCH_TIMEOUT, response).await {
-            Ok(Ok((PeerResponse::Vouched(is_vouched), _))) => is_vouched,
+            Ok(Ok((PeerResponse::Vouched(is_vouched), _))) => Some(is_vouched),
             Ok(Ok(_)) => {
                 log::warn!(host:% = host; "unexpected type of response from a peer");
-                false
+                Some(false)
             }
             Ok(Err(error)) => {
                 log::info!(
                     host:% = host, error:% = error;
                     "failed to ask a peer whether its target is alive"
                 );
-                false
+                None
             }
             Err(_) => {
                 log::info!(host:% = host; "timed out asking a peer whether its target is alive");
-                false
+                None
             }
         }
     }
@@ -110,18 +123,51 @@
         is_vouched
     }
 
-    /// Returns the instance ID of the node's own target if it is alive and the platform was
-    /// unreachable recently, so that its entry may have expired.
-    async fn live_target_while_partitioned(&self) -> Option<id::Vm> {
-        let requested_at = clock::now();
-        if let Err(error) = self.directory.probe().await {
+    /// Probes the platform, and a second time if there is no quick response: one call may fail while
+    /// the platform can be reached.
+    async fn probe_twice(&self) -> Result<(), adapter::Error> {
+        let mut first = pin!(self.directory.probe());
+        match tokio::time::timeout(SECOND_PROBE_DELAY, first.as_mut()).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => {
+                log::info!(error:% = error; "a probe of the platform failed");
+                self.directory.probe().await
+            }
+            Err(_) => {
+                let second = pin!(self.directory.probe());
+                let both = [Either::Left(first), Either::Right(second)];
+                future::select_ok(both).await.map(|(response, _)| response)
+            }
+        }
+    }
+
+    /// Returns whether this node is partitioned from the platform, or was until a moment ago, so that
+    /// its target's entry may come back. A single check that fails does not count beyond itself.
+    async fn is_partitioned(&self) -> bool {
+        let now = clock::now();
+        if let Err(error) = self.probe_twice().await {
             log::info!(
                 error:% = error;
                 "the platform can't be reached; the node's own target may be partitioned"
             );
-            self.vouching.last_unreachable.set(Some(requested_at));
+            let state = &self.vouching;
+            if state.unreachable_since.get().is_some() {
+                state.last_unreachable.set(Some(now));
+            } else {
+                state.unreachable_since.set(Some(now));
+            }
+            return true;
+        }
+        self.vouching.unreachable_since.set(None);
+        self.vouching.last_unreachable.get().is_some_and(|at| now - at < OUTAGE_GRACE)
+    }
+
+    /// Returns the instance ID of the node's own target if it is alive and the platform was
+    /// unreachable recently, so that its entry may have expired.
+    async fn live_target_while_partitioned(&self) -> Option<id::Vm> {
+        if !self.is_partitioned().await {
+            return None;
         }
-        self.vouching.last_unreachable.get().filter(|at| requested_at - *at < OUTAGE_GRACE)?;
         let path = {
             let node = self.node.borrow();
             let path = node.table().and_then(|table| table.health(&node.settings().pool));
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -18,6 +18,7 @@
 pub mod lineage;
 pub mod linger;
 pub mod node;
+pub mod outage;
 pub mod pace;
 pub mod position;
 pub mod quota;
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -36,7 +36,7 @@
         lag::Lag,
         lease::Lease,
         lineage::ActiveRuns,
-        pace,
+        outage, pace,
         position::{EraTracker, Position},
         quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
@@ -137,6 +137,7 @@
     eras: EraTracker,
     table: Option<Arc<Table>>,
     lease: Lease,
+    outage: outage::Detector,
     fleet: Fleet,
     evacuations: Evacuations,
     peers: Peers,
@@ -174,6 +175,7 @@
             eras: EraTracker::default(),
             table: None,
             lease: Lease::new(settings.withdrawal),
+            outage: outage::Detector::default(),
             fleet: Fleet::default(),
             evacuations: Evacuations::default(),
             peers: Peers::new(settings.host, settings.data_centre.clone()),
@@ -341,9 +343,28 @@
         }
     }
 
-    /// Records that the platform could not be read.
-    pub fn record_outage(&mut self, now: Instant) {
-        self.fleet.record_outage(now);
+    /// Records that the platform was down at this time, according to a peer.
+    pub fn record_outage(&mut self, at: Instant) {
+        self.fleet.record_outage(at);
+    }
+
+    /// Records that a read of the platform failed.
+    pub fn record_failed_read(&mut self, now: Instant) {
+        if self.outage.record_failure(now) {
+            log::warn!("the platform is down");
+        }
+        if self.outage.is_down() {
+            self.fleet.record_outage(now);
+        }
+    }
+
+    /// Records that the platform responded at this time, to this node or to a peer.
+    pub fn record_response(&mut self, at: Instant) {
+        if self.outage.record_response(at) {
+            log::info!("the platform responds again");
+            // It may have come back long after the last failed read.
+            self.fleet.record_outage(at);
+        }
     }
 
     /// Expires outdated state. The driver calls this about twice per second.
@@ -356,6 +377,7 @@
             self.use_reported_latency(&pool, false);
         }
         if self.fleet.tick(now) {
+            log::info!("targets whose entries were removed are no longer used");
             self.refresh(now);
         }
     }
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -111,6 +111,7 @@
 
     /// Records that the document was the newest one at this time, according to a peer.
     pub fn confirm(&mut self, at: Instant) {
+        self.record_response(at);
         self.lease.confirm(at);
     }
 
--- a/lib/src/mesh/read_schedule.rs
+++ b/lib/src/mesh/read_schedule.rs
@@ -55,6 +55,8 @@
 pub struct ReadSchedule {
     next_probe: Option<Instant>,
     probing_since: Option<Instant>,
+    /// Whether the last read failed.
+    has_failed: bool,
 }
 
 impl ReadSchedule {
@@ -85,16 +87,20 @@
 
     /// Records a successful read; the next one is due after `interval`.
     pub fn record_success(&mut self, now: Instant, interval: Duration) {
-        *self = Self { next_probe: Some(now + interval), probing_since: None };
+        *self = Self { next_probe: Some(now + interval), ..Self::default() };
     }
 
-    /// Records a failed read. The reader tries again soon, since others wait for it; probers leave the
-    /// next attempts to each other.
-    pub fn record_failure(&mut self, now: Instant, role: Role, place: Place) {
+    /// Records a failed read. The reader tries again at once, since one read may fail while the
+    /// platform works, and then soon, since others wait for it; probers leave the next attempts to
+    /// each other. Returns whether the read that failed was itself the second attempt.
+    pub fn record_failure(&mut self, now: Instant, role: Role, place: Place) -> bool {
+        let is_repeated = std::mem::replace(&mut self.has_failed, true);
         self.next_probe = Some(match role {
             Role::Prober => self.next_turn(now, place),
+            Role::Reader | Role::Follower if !is_repeated => now,
             Role::Reader | Role::Follower => now + MIN_PROBE_PERIOD,
         });
+        is_repeated
     }
 
     /// Returns the next turn of a prober. The turns of a data centre's nodes are `PROBE_STAGGER` apart.
--- a/testutils/src/mesh/store.rs
+++ b/testutils/src/mesh/store.rs
@@ -28,6 +28,9 @@
     None,
     /// Every call is answered with this status.
     Status(u16),
+    /// Every second call of a machine to each path is answered with this status. Watches that wait go
+    /// on.
+    AlternatingStatus(u16),
     /// No call is answered, also after the fault has ended.
     Unresponsive,
     /// Watches report no changes. Reads and ranges work.
@@ -63,6 +66,8 @@
     /// The number of restores, plus one.
     era: u64,
     refused_addresses: Vec<IpAddr>,
+    /// The number of calls of each machine to each path.
+    calls_by_path: BTreeMap<(Option<IpAddr>, String), u64>,
     /// The number of times that the store became unresponsive.
     silences: u64,
     calls: u64,
@@ -218,12 +223,20 @@
     let failure = {
         let mut state = lock(&shared.state);
         state.calls += 1;
-        let fault = match state.is_refused(request) {
-            true => Fault::Status(503),
-            false => state.fault,
+        let key = (request.peer_addr().map(|address| address.ip()), request.path().to_owned());
+        let calls = state.calls_by_path.entry(key).or_default();
+        *calls += 1;
+        let is_second = calls.is_multiple_of(2);
+        let fault = match (state.is_refused(request), state.fault) {
+            (true, _) => Fault::Status(503),
+            (false, Fault::AlternatingStatus(status)) if is_second => Fault::Status(status),
+            (false, fault) => fault,
         };
         match fault {
-            Fault::None | Fault::StalledWatches | Fault::ItemsOnly => return None,
+            Fault::None
+            | Fault::StalledWatches
+            | Fault::ItemsOnly
+            | Fault::AlternatingStatus(_) => return None,
             Fault::Status(status) => {
                 let status = StatusCode::from_u16(status).expect("a status");
                 Some(answer(&state, status).finish())
@@ -325,7 +338,9 @@
                 event.revision > query.after && event.key.starts_with(&query.prefix)
             };
             let events: Vec<Value> = match state.fault {
-                Fault::None => state.history.iter().filter(is_new).map(Event::json).collect(),
+                Fault::None | Fault::AlternatingStatus(_) => {
+                    state.history.iter().filter(is_new).map(Event::json).collect()
+                }
                 _ => Vec::new(),
             };
             if !events.is_empty() {
