mesh: keep crashes and departures through rolling restarts

Cause: a crash is told for some rounds after it happened, so a node that starts later never learns of it.

A node that starts asks peers for crashes and for departures that targets announced, before it gets tables: three, then six others if none of them has caught up. All nodes ask a random peer every 2 s for what they missed, with digests of what they know.

--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -25,6 +25,7 @@
 mod socket;
 mod sync;
 mod target;
+mod transfer;
 mod unread;
 mod upkeep;
 mod vouch;
@@ -97,6 +98,9 @@
     store_restored: Notify,
     /// Notified after each read of the document.
     document_read: Notify,
+    /// Whether the entries of targets, by which a starting node finds its peers, were read or are not
+    /// to be had.
+    has_discovered_peers: Cell<bool>,
     vouching: VouchState,
     /// Whether a task asks the own target whether it is cold.
     is_asking_target: Cell<bool>,
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -4,7 +4,7 @@
     super::super::cause::Cause,
     monsoon_lib::{
         id,
-        mesh::{cold, node::ForwardedRequest, position::Era, scarcity::PoolLoad},
+        mesh::{cold, node::ForwardedRequest, position::Era, scarcity::PoolLoad, transfer},
         pressure::Share,
         unit::Revision,
     },
@@ -62,6 +62,10 @@
         /// As in `RunFinished`.
         loads: Vec<PoolLoad>,
     },
+    /// Completes `PeerRequest::Ping`: asks for what the sender does not know.
+    TransferQuery(transfer::Query),
+    /// Completes `PeerResponse::Pong` in response to `TransferQuery`.
+    Transfer(transfer::Snapshot),
 }
 
 /// Decodes a field that was added at the end of a supplement. It is false if the supplement ends
@@ -137,7 +141,11 @@
             Self::RunFinished { loads }
             | Self::RunLost { loads, .. }
             | Self::BodyKept { loads, .. } => loads,
-            Self::Run { .. } | Self::Facts { .. } | Self::AsksForBodies => Vec::new(),
+            Self::Run { .. }
+            | Self::Facts { .. }
+            | Self::AsksForBodies
+            | Self::TransferQuery(_)
+            | Self::Transfer(_) => Vec::new(),
         }
     }
 
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -222,7 +222,16 @@
                 send_response(&link, number, PeerResponse::Vouched(is_vouched), Bytes::new());
             });
         }
-        PeerRequest::Ping => send_response(link, number, PeerResponse::Pong, Bytes::new()),
+        PeerRequest::Ping => {
+            let snapshot = match &supplement {
+                Some(Supplement::TransferQuery(query)) => {
+                    let snapshot = mesh.node.borrow().transfer_snapshot(now, query);
+                    Some(Supplement::Transfer(snapshot))
+                }
+                _ => None,
+            };
+            send_response_with(link, number, PeerResponse::Pong, snapshot.as_ref(), Bytes::new());
+        }
     }
 }
 
--- a/daemon/src/mesh/sync.rs
+++ b/daemon/src/mesh/sync.rs
@@ -63,12 +63,11 @@
 impl<H: HeaderAdapter, D: Directory> Mesh<H, D> {
     /// Starts all tasks that keep the node's facts up to date.
     pub fn start_sync_tasks(self: &Rc<Self>) {
-        tokio::task::spawn_local(self.clone().follow_source());
-        tokio::task::spawn_local(self.clone().search_when_stale());
         tokio::task::spawn_local(self.clone().tick());
         let mesh = self.clone();
         tokio::task::spawn_local(async move {
-            mesh.discover_peers().await;
+            // Without tables the node serves nobody, so it gets them after it has caught up.
+            tokio::join!(mesh.discover_peers(), mesh.catch_up_and_follow());
             mesh.ask_first_peers().await;
             tokio::task::spawn_local(mesh.clone().watch_platform());
             mesh.confirm_document().await;
@@ -86,6 +85,9 @@
                     let now = clock::now();
                     self.node.borrow_mut().record_response(now);
                     self.node.borrow_mut().add_peers(now, &targets);
+                    if !targets.is_empty() {
+                        self.has_discovered_peers.set(true);
+                    }
                     if targets.iter().any(|target| target.address == own_target) {
                         return;
                     }
@@ -94,6 +96,13 @@
             }
             tokio::time::sleep(PEER_DISCOVERY_INTERVAL).await;
         }
+        self.has_discovered_peers.set(true);
+    }
+
+    async fn catch_up_and_follow(self: &Rc<Self>) {
+        self.catch_up().await;
+        tokio::task::spawn_local(self.clone().follow_source());
+        tokio::task::spawn_local(self.clone().search_when_stale());
     }
 
     /// Gets the facts of some peers before the first read of the platform. After the store was
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -6,6 +6,7 @@
         adapter::{Directory, HeaderAdapter},
         frame::{PeerRequest, PeerResponse},
         sync::PEER_RESPONSE_GRACE,
+        transfer::TRANSFER_INTERVAL,
     },
     crate::clock,
     bytes::Bytes,
@@ -23,6 +24,7 @@
     /// reports and exchanges rate shares with the coordinator.
     pub async fn tick(self: Rc<Self>) {
         let mut last = clock::now();
+        let mut transferred_at = last;
         loop {
             tokio::time::sleep(TICK_INTERVAL).await;
             let now = clock::now();
@@ -45,6 +47,10 @@
             }
             let elapsed = now - last;
             last = now;
+            if now - transferred_at >= TRANSFER_INTERVAL {
+                transferred_at = now;
+                tokio::task::spawn_local(self.clone().ask_random_peer());
+            }
             self.send_crash_reports().await;
             self.exchange_rate_shares(elapsed).await;
         }
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -198,6 +198,31 @@
         }
     }
 
+    /// Returns the digests of the known crashes with their cleared suspects.
+    pub fn digests(&self) -> impl Iterator<Item = u64> {
+        self.events.iter().map(|(id, event)| event.digest(id))
+    }
+
+    /// Returns the crashes whose digests are not in `known`.
+    pub fn missing_from(&self, now: Instant, known: &HashSet<u64>) -> Vec<Crash> {
+        let missing = self.events.iter().filter(|(id, event)| !known.contains(&event.digest(id)));
+        missing.map(|(id, event)| event.to_crash(now, id.clone())).collect()
+    }
+
+    /// Merges crashes that another node knows. They are not spread further, since each node asks its
+    /// peers by itself.
+    pub fn merge(&mut self, now: Instant, crashes: Vec<Crash>) {
+        for crash in crashes {
+            let id = crash.id.clone();
+            let is_new = !self.events.contains_key(&id);
+            self.add_remote_crash(now, crash);
+            if let Some(event) = self.events.get_mut(&id).filter(|_| is_new) {
+                event.settle();
+            }
+        }
+        self.prune_and_update(now);
+    }
+
     /// Returns the message to gossip now to a few randomly selected nodes, if any. `nodes` is the
     /// number of all nodes, including this one.
     pub fn next_message(&mut self, now: Instant, nodes: usize) -> Option<Message> {
--- a/lib/src/crash/event.rs
+++ b/lib/src/crash/event.rs
@@ -6,7 +6,10 @@
         time::Instant,
     },
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        hash::{Hash as _, Hasher as _},
+    },
 };
 
 /// Identifies a crash, so that a duplicated message does not count twice.
@@ -68,6 +71,20 @@
         Self { at, suspects, cleared: BTreeSet::new(), rounds: 0, clearings: BTreeMap::new() }
     }
 
+    /// Stops the gossip about this crash. A node that learned of it from the knowledge of a peer is
+    /// not among those that have to spread it.
+    pub fn settle(&mut self) {
+        self.rounds = u32::MAX;
+        self.clearings.clear();
+    }
+
+    /// Returns a digest of the crash and of its suspects that have been cleared.
+    pub fn digest(&self, id: &CrashId) -> u64 {
+        let mut hash = siphasher::sip::SipHasher13::new();
+        (id.vm.as_str(), id.incarnation.0, id.sequence, &self.cleared).hash(&mut hash);
+        hash.finish()
+    }
+
     /// Returns the suspects that have not been cleared.
     pub fn blamed(&self) -> impl Iterator<Item = u64> {
         self.suspects.difference(&self.cleared).copied()
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -28,3 +28,4 @@
 pub mod standing;
 pub mod table;
 pub mod throttle;
+pub mod transfer;
--- a/lib/src/mesh/fleet.rs
+++ b/lib/src/mesh/fleet.rs
@@ -13,7 +13,7 @@
 //! whatever its entry says: the entry may be late, or come from a copy of the store.
 
 use {
-    super::fact::Target,
+    super::{fact::Target, transfer},
     crate::{id, time::Instant},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -123,6 +123,39 @@
         !std::mem::replace(&mut entry.target.is_leaving, true)
     }
 
+    /// Returns the announcements of targets that they are leaving.
+    pub fn departures(&self, now: Instant) -> Vec<transfer::Departure> {
+        let departures = self.departures.iter().map(|(name, departure)| transfer::Departure {
+            target: name.clone(),
+            started_at_ms: departure.started_at_ms,
+            age_ms: (now - departure.announced_at).as_millis().try_into().unwrap_or(u64::MAX),
+        });
+        departures.collect()
+    }
+
+    /// Records a target's announcement that another node knows. Returns whether a target in use was
+    /// not known to be leaving.
+    pub fn merge_departure(
+        &mut self,
+        now: Instant,
+        name: id::Vm,
+        started_at_ms: u64,
+        announced_at: Instant,
+    ) -> bool {
+        let entry = self.entries.get_mut(&name);
+        let is_outdated = entry.as_ref().map_or_else(
+            || now - announced_at >= ANNOUNCEMENT_RETENTION,
+            |entry| entry.target.started_at_ms > started_at_ms,
+        );
+        if is_outdated {
+            return false;
+        }
+        self.departures.entry(name).or_insert(Departure { started_at_ms, announced_at });
+        let Some(entry) = entry else { return false };
+        entry.leaving_since.get_or_insert(announced_at);
+        !std::mem::replace(&mut entry.target.is_leaving, true)
+    }
+
     /// Returns since when this node has known that a target is leaving.
     pub fn leaving_since(&self, name: &id::Vm) -> Option<Instant> {
         self.entries.get(name).and_then(|entry| entry.leaving_since)
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -52,7 +52,10 @@
     },
     admit::LongestTimeouts,
     peers::Peers,
-    rand::{SeedableRng as _, seq::IteratorRandom as _},
+    rand::{
+        SeedableRng as _,
+        seq::{IteratorRandom as _, SliceRandom as _},
+    },
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -138,13 +141,13 @@
     table: Option<Arc<Table>>,
     lease: Lease,
     outage: outage::Detector,
-    fleet: Fleet,
+    pub(super) fleet: Fleet,
     evacuations: Evacuations,
     peers: Peers,
     pickers: BTreeMap<id::Pool, Picker>,
     resend_budgets: BTreeMap<id::Pool, ResendBudget>,
     runs: ActiveRuns,
-    crash_tracker: CrashTracker,
+    pub(super) crash_tracker: CrashTracker,
     pool_selectors: HashMap<id::Route, WeightedRoundRobin>,
     longest_timeouts: LongestTimeouts,
     entry_refusals: standing::Refusals,
@@ -164,6 +167,8 @@
     coordinator: Coordinator,
     random: ChaCha8Rng,
     is_leaving: bool,
+    /// Whether peers were asked for what the platform does not publish.
+    pub(super) is_caught_up: bool,
 }
 
 impl Node {
@@ -202,6 +207,7 @@
             coordinator: Coordinator::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             is_leaving: false,
+            is_caught_up: true,
             settings,
         }
     }
@@ -281,6 +287,14 @@
         Some((message, usable.sample(&mut self.random, CRASH_REPORT_FANOUT)))
     }
 
+    /// Returns the usable peers in a random order.
+    pub fn shuffled_peers(&mut self, now: Instant) -> Vec<IpAddr> {
+        let usable = self.peers.hosts().filter(|host| self.peers.is_usable(now, *host));
+        let mut hosts: Vec<IpAddr> = usable.collect();
+        hosts.shuffle(&mut self.random);
+        hosts
+    }
+
     /// Returns the limiter that enforces this node's shares of the sold rates.
     pub fn rate_limiter(&mut self) -> &mut RateLimiter {
         &mut self.rate_limiter
--- a/lib/src/mesh/node/facts.rs
+++ b/lib/src/mesh/node/facts.rs
@@ -234,7 +234,7 @@
     }
 
     /// Updates all state that is derived from the table and the targets.
-    pub(super) fn refresh(&mut self, now: Instant) {
+    pub(in crate::mesh) fn refresh(&mut self, now: Instant) {
         self.peers.set_targets(self.fleet.iter());
         self.rate_limiter.set_node_count(now, self.peers.len() + 1);
         if let Some(target) = self.fleet.by_address(self.settings.target) {
