vouch, quota: don't join distant checks, list silent members once

Two failed checks of the platform counted as one partition however far apart they were, so that a target's node might vouch for 2.3 s more after the second one. Checks more than 2.5 s apart say nothing about the time between them.

The coordinator looked for silent members once for each account of a report; now once a report.

--- a/daemon/src/mesh/vouch.rs
+++ b/daemon/src/mesh/vouch.rs
@@ -35,6 +35,9 @@
 const VOUCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long the first probe of the platform may take until a second one is made beside it.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(150);
+/// Checks that are further apart say nothing about the time between them. While a target has no entry,
+/// its node is asked about it each [`VOUCH_INTERVAL`].
+const MAX_CHECK_DISTANCE: Duration = Duration::from_millis(2_500);
 /// How long the result of a check of the node's own target is reused.
 const CHECK_CACHE_TIME: Duration = Duration::from_millis(700);
 
@@ -43,9 +46,9 @@
 pub struct VouchState {
     /// The targets whose nodes are being polled.
     polled: RefCell<BTreeSet<id::Vm>>,
-    /// The first of the checks since the last successful one that found the platform unreachable.
-    unreachable_since: Cell<Option<Instant>>,
-    /// The last check that found the platform unreachable after another one had.
+    /// The last check that found the platform unreachable, if none has succeeded since.
+    last_failed_check: Cell<Option<Instant>>,
+    /// The last check that found the platform unreachable directly after another one had.
     last_unreachable: Cell<Option<Instant>>,
     /// The last check of the node's own target: its time and the instance that was found alive.
     last_check: tokio::sync::Mutex<Option<(Instant, Option<id::Vm>)>>,
@@ -150,15 +153,13 @@
                 error:% = error;
                 "the platform can't be reached; the node's own target may be partitioned"
             );
-            let state = &self.vouching;
-            if state.unreachable_since.get().is_some() {
-                state.last_unreachable.set(Some(now));
-            } else {
-                state.unreachable_since.set(Some(now));
+            let previous = self.vouching.last_failed_check.replace(Some(now));
+            if previous.is_some_and(|at| now - at < MAX_CHECK_DISTANCE) {
+                self.vouching.last_unreachable.set(Some(now));
             }
             return true;
         }
-        self.vouching.unreachable_since.set(None);
+        self.vouching.last_failed_check.set(None);
         self.vouching.last_unreachable.get().is_some_and(|at| now - at < OUTAGE_GRACE)
     }
 
--- a/lib/src/mesh/quota/coordinator.rs
+++ b/lib/src/mesh/quota/coordinator.rs
@@ -103,10 +103,12 @@
             return None;
         }
         let is_complete = self.members.len() >= node_count;
+        let silent = self.members.iter().filter(|(_, member)| !member.is_present(now));
+        let silent: Vec<IpAddr> = silent.map(|(host, _)| *host).collect();
         let mut shares =
             Shares { default_fraction: (IDLE_FRACTION / nodes) as f32, ..Shares::default() };
         for account in accounts {
-            let share = self.share(now, node, &account, nodes, is_complete)?;
+            let share = self.share(node, &account, nodes, is_complete, &silent)?;
             shares.by_account.insert(account, share);
         }
         Some(shares)
@@ -182,11 +184,11 @@
     /// Returns a node's share of the rate of one account, and records that the node uses it.
     fn share(
         &mut self,
-        now: Instant,
         node: IpAddr,
         account: &id::Account,
         nodes: f64,
         is_complete: bool,
+        silent: &[IpAddr],
     ) -> Option<Share> {
         let even = EVEN_FRACTION / nodes;
         let totals = self.totals.get_mut(account)?;
@@ -197,7 +199,7 @@
             totals.free = MAX_TOTAL - total;
         }
         let (mut present, mut held, mut demand) = (self.members.len(), total, totals.demand);
-        for member in self.members.values().filter(|member| !member.is_present(now)) {
+        for member in silent.iter().filter_map(|host| self.members.get(host)) {
             present -= 1;
             held -= member.held.get(account).copied().unwrap_or(even);
             demand -= member.demand_of(account);
