--- a/lib/tests/deployment/mod.rs
+++ b/lib/tests/deployment/mod.rs
@@ -10,6 +10,7 @@
             node::Settings,
             table::{Account, Bounds, Document, Kind, Route, Table, WeightedPool},
         },
+        time::Instant,
         unit::{Bytes, Rate, Revision},
     },
     std::{collections::BTreeMap, net::IpAddr, time::Duration},
@@ -98,3 +99,23 @@
         cold_remaining: Duration::ZERO,
     }
 }
+
+/// The window over which the platform counts the requests of an account.
+pub const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+
+/// Returns the most requests that the platform tolerates in a window.
+pub const fn max_per_window(rate: u64) -> u64 {
+    (rate * QUOTA_WINDOW.as_secs() + rate) * 5 / 4 + 20
+}
+
+/// Returns the most requests in any window, by their times in order.
+pub fn worst_window(admitted: &[Instant]) -> u64 {
+    let (mut first, mut worst) = (0, 0);
+    for (last, at) in admitted.iter().enumerate() {
+        while *at - admitted[first] >= QUOTA_WINDOW {
+            first += 1;
+        }
+        worst = worst.max(last - first + 1);
+    }
+    worst as u64
+}
--- a/lib/tests/quota_cut.rs
+++ b/lib/tests/quota_cut.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::table_with_rate,
+    deployment::{max_per_window, table_with_rate, worst_window},
     monsoon_lib::{
         id,
         mesh::quota::{Coordinator, PERIOD, RateLimiter},
@@ -15,17 +15,11 @@
 };
 
 const STEP: Duration = Duration::from_millis(5);
-const WINDOW: Duration = Duration::from_secs(5);
 const DATA_CENTRES: usize = 3;
 /// The longest time until a node notices that it does not reach another one. Coordinators behind a
 /// cut may be found unreachable one after the other.
 const MAX_DETECTION_MS: u64 = 3_000;
 
-/// Returns the most requests that the platform tolerates in a window.
-const fn max_per_window(rate: u64) -> u64 {
-    (rate * WINDOW.as_secs() + rate) * 5 / 4 + 20
-}
-
 fn account() -> id::Account {
     "alpha".parse().expect("a name")
 }
@@ -140,14 +134,7 @@
     }
 
     fn worst_window(&self) -> u64 {
-        let (mut first, mut worst) = (0, 0);
-        for (last, at) in self.admitted.iter().enumerate() {
-            while *at - self.admitted[first] >= WINDOW {
-                first += 1;
-            }
-            worst = worst.max(last - first + 1);
-        }
-        worst as u64
+        worst_window(&self.admitted)
     }
 }
 
