--- a/daemon/src/mesh.rs
+++ b/daemon/src/mesh.rs
@@ -53,7 +53,6 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
-        net::IpAddr,
         rc::Rc,
     },
     target::Target,
@@ -102,8 +101,6 @@
     /// Whether the entries of targets, by which a starting node finds its peers, were read or are not
     /// to be had.
     has_discovered_peers: Cell<bool>,
-    /// The coordinator of rates and whether it did not answer when this was last logged.
-    coordinator: Cell<Option<(IpAddr, bool)>>,
     vouching: VouchState,
     /// Whether a task asks the own target whether it is cold.
     is_asking_target: Cell<bool>,
--- a/daemon/src/mesh/frame/supplement.rs
+++ b/daemon/src/mesh/frame/supplement.rs
@@ -4,10 +4,7 @@
     super::super::cause::Cause,
     monsoon_lib::{
         id,
-        mesh::{
-            cold, node::ForwardedRequest, position::Era, quota::Holdings, scarcity::PoolLoad,
-            transfer,
-        },
+        mesh::{cold, node::ForwardedRequest, position::Era, scarcity::PoolLoad, transfer},
         pressure::Share,
         unit::Revision,
     },
@@ -69,8 +66,6 @@
     TransferQuery(transfer::Query),
     /// Completes `PeerResponse::Pong` in response to `TransferQuery`.
     Transfer(transfer::Snapshot),
-    /// Completes `PeerRequest::Demand`.
-    Holdings(Holdings),
 }
 
 /// Decodes a field that was added at the end of a supplement. It is false if the supplement ends
@@ -150,8 +145,7 @@
             | Self::Facts { .. }
             | Self::AsksForBodies
             | Self::TransferQuery(_)
-            | Self::Transfer(_)
-            | Self::Holdings(_) => Vec::new(),
+            | Self::Transfer(_) => Vec::new(),
         }
     }
 
--- a/daemon/src/mesh/peers.rs
+++ b/daemon/src/mesh/peers.rs
@@ -19,7 +19,7 @@
     bytes::{Bytes, BytesMut},
     monsoon_lib::{
         call::{Reason, Refusal},
-        mesh::{node::ForwardedRequest, quota},
+        mesh::node::ForwardedRequest,
         time::Instant,
     },
     std::{
@@ -154,11 +154,11 @@
         PeerRequest::Hello { data_centre, is_leaving: true } => {
             let mut node = mesh.node.borrow_mut();
             node.peers_mut().record_contact(now, link.host, Some(data_centre));
-            node.record_leaving_peer(now, link.host);
+            node.peers_mut().mark_leaving(now, link.host);
         }
         PeerRequest::Leaving => {
             log::info!(host:% = link.host; "peer is leaving");
-            mesh.node.borrow_mut().record_leaving_peer(now, link.host);
+            mesh.node.borrow_mut().peers_mut().mark_leaving(now, link.host);
         }
         PeerRequest::Run { forwarded, .. } if mesh.is_closed.get() => {
             let request = forwarded.request.as_str();
@@ -205,12 +205,7 @@
             link.runs.borrow_mut().insert(number, handle.abort_handle());
         }
         PeerRequest::Demand(demand) => {
-            let held = match supplement {
-                Some(Supplement::Holdings(held)) => Some(held),
-                _ => None,
-            };
-            let report = quota::Report { demand, held };
-            let shares = mesh.node.borrow_mut().share_rates(now, link.host, report);
+            let shares = mesh.node.borrow_mut().share_rates(now, link.host, demand);
             send_response(link, number, PeerResponse::Shares(shares), Bytes::new());
         }
         PeerRequest::Crashes(message) => {
--- a/daemon/src/mesh/process.rs
+++ b/daemon/src/mesh/process.rs
@@ -129,7 +129,6 @@
         store_restored: Notify::new(),
         document_read: Notify::new(),
         has_discovered_peers: Cell::default(),
-        coordinator: Cell::default(),
         vouching: VouchState::default(),
         is_asking_target: Cell::default(),
         broken_calls: RefCell::default(),
--- a/daemon/src/mesh/upkeep.rs
+++ b/daemon/src/mesh/upkeep.rs
@@ -4,7 +4,7 @@
     super::{
         Mesh,
         adapter::{Directory, HeaderAdapter},
-        frame::{Attachments, PeerRequest, PeerResponse, Supplement},
+        frame::{PeerRequest, PeerResponse},
         sync::PEER_RESPONSE_GRACE,
         transfer::TRANSFER_INTERVAL,
     },
@@ -108,29 +108,22 @@
     }
 
     async fn exchange_rate_shares(&self, elapsed: Duration) {
-        let (report, host, own_host) = {
+        let (demand, host, own_host) = {
             let mut node = self.node.borrow_mut();
-            let report = node.rate_limiter().report(elapsed);
-            let host = node.peers().coordinator(clock::now(), &self.links.unresponsive());
-            (report, host, node.settings().host)
+            let demand = node.rate_limiter().demand(elapsed);
+            (demand, node.peers().coordinator(clock::now()), node.settings().host)
         };
-        self.log_coordinator(host);
         if host == own_host {
             let now = clock::now();
             let mut node = self.node.borrow_mut();
-            if let Some(shares) = node.share_rates(now, own_host, report) {
+            if let Some(shares) = node.share_rates(now, own_host, demand) {
                 node.rate_limiter().set_shares(now, shares);
             }
             return;
         }
-        let quota::Report { demand, held } = report;
-        let held = held.map(Supplement::Holdings);
-        let attachments = Attachments { extension: None, supplement: held.as_ref() };
-        let request = PeerRequest::Demand(demand);
-        let response = self.links.request_with(host, request, attachments, Bytes::new());
-        let response = tokio::time::timeout(PEER_RESPONSE_GRACE, response).await;
-        match response.map(|response| response.map(|response| response.message)) {
-            Ok(Ok(PeerResponse::Shares(shares))) => {
+        let response = self.links.request(host, PeerRequest::Demand(demand), Bytes::new());
+        match tokio::time::timeout(PEER_RESPONSE_GRACE, response).await {
+            Ok(Ok((PeerResponse::Shares(shares), _))) => {
                 let now = clock::now();
                 let mut node = self.node.borrow_mut();
                 node.peers_mut().record_contact(now, host, None);
@@ -144,15 +137,6 @@
         }
     }
 
-    /// Logs a change of the coordinator, and whether this node judges demands by its own because no
-    /// coordinator answers.
-    fn log_coordinator(&self, host: IpAddr) {
-        let is_alone = self.node.borrow_mut().rate_limiter().is_alone();
-        if self.coordinator.replace(Some((host, is_alone))) != Some((host, is_alone)) {
-            log::info!(host:% = host, is_alone; "coordinator of rates");
-        }
-    }
-
     /// Notifies all peers that this node is starting or leaving.
     pub async fn broadcast(self: &Rc<Self>, request: PeerRequest) {
         let hosts: Vec<IpAddr> = self.node.borrow().peers().hosts().collect();
--- a/lib/src/mesh/node.rs
+++ b/lib/src/mesh/node.rs
@@ -38,7 +38,7 @@
         lineage::ActiveRuns,
         outage, pace,
         position::{EraTracker, Position},
-        quota::{Coordinator, RateLimiter, Report, Shares},
+        quota::{Coordinator, Demand, RateLimiter, Shares},
         resend::ResendBudget,
         scarcity::Tracker,
         standing,
@@ -301,18 +301,8 @@
     }
 
     /// Returns the shares of a node that reported its demand, while this node is the coordinator.
-    pub fn share_rates(&mut self, now: Instant, host: IpAddr, report: Report) -> Option<Shares> {
-        if self.peers.is_leaving(now, host) {
-            // Its fractions were taken back.
-            return None;
-        }
-        self.coordinator.update(now, host, report, self.peers.len() + 1)
-    }
-
-    /// Records that a peer announced that it is leaving.
-    pub fn record_leaving_peer(&mut self, now: Instant, host: IpAddr) {
-        self.peers.mark_leaving(now, host);
-        self.coordinator.release(host);
+    pub fn share_rates(&mut self, now: Instant, host: IpAddr, demand: Demand) -> Option<Shares> {
+        self.coordinator.update(now, host, demand, self.peers.len() + 1)
     }
 
     /// Marks the node as leaving.
--- a/lib/src/mesh/node/peers.rs
+++ b/lib/src/mesh/node/peers.rs
@@ -141,11 +141,6 @@
         }
     }
 
-    /// Returns whether a peer announced that it is leaving.
-    pub fn is_leaving(&self, now: Instant, host: IpAddr) -> bool {
-        self.peers.get(&host).is_some_and(|peer| peer.is_leaving(now))
-    }
-
     /// Records that a peer does not read the platform, so that it is not used as a source of facts
     /// until [`Self::mark_fresh`].
     pub fn mark_stale(&mut self, now: Instant, host: IpAddr) {
@@ -231,16 +226,9 @@
     }
 
     /// Returns the coordinator of the sold rates: the node with the lowest address among this one
-    /// and the listed peers that are reachable and not leaving. `unresponsive` are the peers whose
-    /// responses are overdue.
-    ///
-    /// Peers in a data centre that is probably cut off are passed over, since they would otherwise be
-    /// found unreachable one after the other.
-    pub fn coordinator(&self, now: Instant, unresponsive: &BTreeSet<IpAddr>) -> IpAddr {
-        let silent = self.silent_data_centres(now, unresponsive);
-        let is_reachable =
-            |peer: &Peer| peer.data_centre.as_ref().is_none_or(|dc| !silent.contains(dc));
-        self.lowest_address(now, is_reachable)
+    /// and the listed peers that are reachable and not leaving.
+    pub fn coordinator(&self, now: Instant) -> IpAddr {
+        self.lowest_address(now, |_| true)
     }
 
     /// Returns the source of this node's facts. In each data centre, the first candidate by address
@@ -315,11 +303,8 @@
 }
 
 impl Peer {
-    fn is_leaving(&self, now: Instant) -> bool {
-        self.leaving_since.is_some_and(|since| now - since < LEAVING_TTL)
-    }
-
     fn is_excluded(&self, now: Instant) -> bool {
-        self.is_unreachable || self.is_leaving(now)
+        let is_leaving = self.leaving_since.is_some_and(|since| now - since < LEAVING_TTL);
+        self.is_unreachable || is_leaving
     }
 }
--- a/lib/src/mesh/quota.rs
+++ b/lib/src/mesh/quota.rs
@@ -2,9 +2,9 @@
 //!
 //! Each node reports its demand by account to one node, the coordinator, which answers with the
 //! node's share of the rates. Each node determines the coordinator on its own; nodes that reach the
-//! same peers choose the same one. A node without an answer keeps its last shares. Nodes report what
-//! they use with their demand, so that a new coordinator hands out no more than its members bring
-//! with them, see [`Coordinator`].
+//! same peers choose the same one. A node without an answer keeps its last shares. The coordinator
+//! counts a node that it does not hear from for `SILENT_NODE_RETENTION`, because that node may be
+//! partitioned and go on using its share.
 //!
 //! While the demand of all nodes is somewhat above the rate, each node refuses the same fraction of
 //! the account's requests. On many nodes the share of one node is less than a request per second, and
@@ -12,24 +12,33 @@
 //! together. The buckets bound what is admitted before the nodes know of a rise, and under demand far
 //! above the rate.
 
-mod coordinator;
-
-pub use coordinator::Coordinator;
-
 use {
     super::table::Table,
     crate::{id, time::Instant, unit::Rate},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap},
+        net::IpAddr,
         time::Duration,
     },
 };
 
 /// The interval at which a node reports its demand to the coordinator.
 pub const PERIOD: Duration = Duration::from_millis(500);
+/// How long the coordinator counts a node that it does not hear from. Partitions last about this
+/// long.
+const SILENT_NODE_RETENTION: Duration = Duration::from_secs(8);
+/// How long a new coordinator collects demands before it answers. All nodes report theirs twice in
+/// this time.
+const WARM_UP: Duration = Duration::from_millis(1_200);
 /// The weight of the last period in the moving average of the demand of an account.
 const DEMAND_WEIGHT: f64 = 0.5;
+/// The fraction of a rate that is split evenly, so that a node without demand can admit its first
+/// requests.
+const EVEN_FRACTION: f64 = 0.2;
+/// The fraction of a rate that is split evenly for accounts without demand at a node. It is larger
+/// than [`EVEN_FRACTION`], since most such accounts have no demand at other nodes either.
+const IDLE_FRACTION: f64 = 0.5;
 /// The smallest capacity of a bucket, in requests, so that a small share is not lost to rounding.
 const MIN_CAPACITY: f64 = 3.0;
 /// The smallest capacity of a bucket under demand above [`OVERLOAD_DEMAND`]. On many nodes, larger
@@ -47,17 +56,6 @@
 /// measured demand of an account with few requests is at times a third above its mean, and full
 /// buckets must not be emptied for that.
 const OVERLOAD_DEMAND: f64 = 1.6;
-/// The time without an answer of a coordinator after which a node judges the demand by its own. One
-/// answer may be lost.
-const LOCAL_AFTER: Duration = Duration::from_millis(1_200);
-/// The time over which the moving average of the demand counts requests: [`PERIOD`], for the weight
-/// [`DEMAND_WEIGHT`].
-const DEMAND_TIME_S: f64 = 1.5;
-/// How far the demand of one node has to be above its share to count, in standard deviations of a
-/// Poisson count.
-const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
-/// The smallest share to which the demand of one node is related.
-const MIN_FRACTION: f64 = 0.001;
 /// The longest retry delay given to a refused caller.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -65,32 +63,12 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Demand(pub BTreeMap<id::Account, f32>);
 
-/// The fractions of the rates that a node uses, in the order of the accounts of its [`Demand`].
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Holdings(pub Vec<f32>);
-
-/// What a node reports to the coordinator.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Report {
-    /// The demand at the node.
-    pub demand: Demand,
-    /// What the node uses. Nodes of earlier versions do not say it.
-    pub held: Option<Holdings>,
-}
-
-impl From<Demand> for Report {
-    fn from(demand: Demand) -> Self {
-        Self { demand, held: None }
-    }
-}
-
 /// A node's share of the rate of one account.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Share {
     /// The fraction of the rate that the node may use.
     pub fraction: f32,
-    /// The demand at all nodes, in requests per second. During a partition, that of the reachable
-    /// nodes, divided by their part of the rate.
+    /// The demand at all nodes, in requests per second.
     pub demand: f32,
 }
 
@@ -160,24 +138,6 @@
             .max(self.enforcement.min_capacity)
     }
 
-    /// Returns the demand at all nodes that the demand at this node suggests, if it is this node's
-    /// share of it. Chance does not make it larger.
-    fn local_demand(&self) -> f64 {
-        let deviation = (self.demand / DEMAND_TIME_S).sqrt();
-        let significant = (self.demand - SIGNIFICANT_DEVIATIONS * deviation).max(0.0);
-        significant / self.fraction.max(MIN_FRACTION)
-    }
-
-    /// Sets the enforcement for this demand at all nodes.
-    fn enforce(&mut self, demand: Option<f64>) {
-        let enforcement = Enforcement::of(demand, self.rate);
-        if enforcement.min_capacity < self.enforcement.min_capacity {
-            // The full buckets of idle nodes together hold more than the rate allows.
-            self.tokens = self.tokens.min(self.burst as f64 * self.fraction);
-        }
-        self.enforcement = enforcement;
-    }
-
     fn refill_per_s(&self) -> f64 {
         self.rate.0 as f64 * self.fraction * self.enforcement.margin
     }
@@ -194,8 +154,6 @@
 pub struct RateLimiter {
     buckets: HashMap<id::Account, TokenBucket>,
     shares: Option<Shares>,
-    /// The time since the last answer of a coordinator.
-    since_answer: Duration,
     /// The demand of all accounts with demand and a rate, divided by the sum of their rates.
     mean_usage: Option<f64>,
     node_count: usize,
@@ -241,7 +199,6 @@
     /// Sets the shares that the coordinator assigned.
     pub fn set_shares(&mut self, now: Instant, shares: Shares) {
         self.shares = Some(shares);
-        self.since_answer = Duration::ZERO;
         self.apply(now);
         self.update_mean_usage();
     }
@@ -303,25 +260,14 @@
         }
     }
 
-    /// Returns whether a coordinator answered before, but not for so long that the demand is judged by
-    /// that of this node.
-    pub fn is_alone(&self) -> bool {
-        self.shares.is_some() && self.since_answer >= LOCAL_AFTER
-    }
-
     /// Updates and returns the average demand. Must be called once per [`PERIOD`]; `elapsed` is the
     /// time since the last call.
     pub fn demand(&mut self, elapsed: Duration) -> Demand {
-        self.since_answer += elapsed;
-        let is_alone = self.is_alone();
         let elapsed_s = elapsed.as_secs_f64().max(0.001);
         let mut demand = Demand::default();
         for (account, bucket) in &mut self.buckets {
             let last = f64::from(std::mem::take(&mut bucket.requests)) / elapsed_s;
             bucket.demand += DEMAND_WEIGHT * (last - bucket.demand);
-            if is_alone {
-                bucket.enforce(Some(bucket.local_demand()));
-            }
             if bucket.demand > 0.01 {
                 demand.0.insert(account.clone(), bucket.demand as f32);
             }
@@ -329,15 +275,6 @@
         demand
     }
 
-    /// Returns the demand with the fractions of the rates that this node uses. Must be called once per
-    /// [`PERIOD`]; `elapsed` is the time since the last call.
-    pub fn report(&mut self, elapsed: Duration) -> Report {
-        let demand = self.demand(elapsed);
-        let fraction = |account| self.buckets.get(account).map_or(0.0, |bucket| bucket.fraction);
-        let held = demand.0.keys().map(|account| fraction(account) as f32).collect();
-        Report { demand, held: Some(Holdings(held)) }
-    }
-
     /// Returns the share of each node if all had the same.
     fn even_fraction(&self) -> f64 {
         match self.node_count {
@@ -381,11 +318,60 @@
                     let share = shares.by_account.get(&name);
                     share.map_or(0.0, |share| f64::from(share.demand))
                 });
+                let enforcement = Enforcement::of(demand, bucket.rate);
+                if enforcement.min_capacity < bucket.enforcement.min_capacity {
+                    // The full buckets of idle nodes together hold more than the rate allows.
+                    bucket.tokens = bucket.tokens.min(bucket.burst as f64 * fraction);
+                }
+                bucket.enforcement = enforcement;
                 bucket.fraction = fraction;
                 bucket.even_fraction = even_fraction;
-                bucket.enforce(demand);
                 bucket.tokens = bucket.tokens.min(bucket.capacity());
             }
         }
     }
 }
+
+/// Splits the rates over the nodes by their reported demand, on the coordinator.
+#[derive(Debug, Default)]
+pub struct Coordinator {
+    demands: HashMap<IpAddr, (Instant, Demand)>,
+    since: Option<Instant>,
+}
+
+impl Coordinator {
+    /// Records the demand of a node and returns its shares, or nothing during the warm-up.
+    ///
+    /// `node_count` is the number of nodes that the coordinator knows of. Those that have not
+    /// reported may still use an even part of the rates, so it is left to them.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        node: IpAddr,
+        demand: Demand,
+        node_count: usize,
+    ) -> Option<Shares> {
+        self.demands.retain(|_, (at, _)| now - *at < SILENT_NODE_RETENTION);
+        if self.demands.is_empty() {
+            self.since = Some(now);
+        }
+        self.demands.insert(node, (now, demand.clone()));
+        let nodes = self.demands.len().max(node_count) as f64;
+        let reported = self.demands.len() as f64 / nodes;
+        let even = EVEN_FRACTION / nodes;
+        let mut shares =
+            Shares { default_fraction: (IDLE_FRACTION / nodes) as f32, ..Shares::default() };
+        for (account, own) in demand.0 {
+            let demand_of = |(_, demand): &(Instant, Demand)| {
+                f64::from(demand.0.get(&account).copied().unwrap_or(0.0))
+            };
+            let sum: f64 = self.demands.values().map(demand_of).sum();
+            let by_demand = reported * (1.0 - EVEN_FRACTION);
+            let fraction = even + by_demand * f64::from(own) / sum.max(0.01);
+            shares
+                .by_account
+                .insert(account, Share { fraction: fraction as f32, demand: sum as f32 });
+        }
+        self.since.is_some_and(|since| now - since >= WARM_UP).then_some(shares)
+    }
+}
--- a/lib/tests/quota_cut.rs
+++ b/lib/tests/quota_cut.rs
@@ -121,7 +121,7 @@
             self.nodes[i].next_report = self.now + PERIOD;
             let coordinator = (0..count).find(|other| self.is_believed_reachable(i, *other));
             let coordinator = coordinator.unwrap_or(i);
-            let report = self.nodes[i].limiter.report(PERIOD);
+            let report = self.nodes[i].limiter.demand(PERIOD);
             if self.is_cut && self.is_separated(i, coordinator) {
                 continue;
             }
