--- a/lib/tests/quota_cut.rs
+++ b/lib/tests/quota_cut.rs
@@ -50,7 +50,7 @@
 }
 
 impl Simulation {
-    /// Creates a deployment in which `is_late` makes all nodes notice cuts as late as possible.
+    /// Creates a deployment whose nodes notice cuts after random times.
     fn new(nodes: usize, rate: u64, seed: u64) -> Self {
         let now = Instant::from_millis(1_000);
         let mut random = ChaCha8Rng::seed_from_u64(seed);
